--- /dev/null
+++ b/lotusroute/adapter/wire.py
@@ -0,0 +1,219 @@
+"""The bench's wire: lines of text in, lines of text out, and the names that end here."""
+
+import base64
+import binascii
+import math
+
+from lotusroute import interface as i
+
+KINDS = {"read_like": i.REPEATABLE, "idempotency_key": i.REFERENCED, "non_idempotent": i.ONCE_ONLY}
+STATES = {"IN": i.READY, "LAME": i.DRAINING, "OUT": i.GONE}
+SCOPES = {"changes": i.CHANGES, "all": i.WHOLE, "remembered": i.REMEMBERED, "refused": i.REFUSED}
+RESULTS = {
+    "S": i.OK, "E": i.ERROR, "F": i.FULL, "T": i.TIMEOUT,
+    "C": i.UNREACHABLE, "R": i.RESET, "X": i.CANCELLED, "N": i.UNSENT,
+}  # fmt: skip
+MID_FLOW, RETURNED = 8, 16
+LOAD_CHANGED, MESSAGES_SLOW = 1, 2
+
+
+class Malformed(Exception):
+    """A line that does not belong on the wire; the text says why."""
+
+
+def number(text: str) -> float:
+    """Read a finite number; `-` is 0.
+
+    >>> number("8652.25"), number("-")
+    (8652.25, 0.0)
+    """
+    if text == "-":
+        return 0.0
+    try:
+        value = float(text)
+    except ValueError:
+        value = math.nan
+    if not math.isfinite(value):
+        raise Malformed(f"'{text}' is not a number")
+    return value
+
+
+def integer(text: str) -> int:
+    """Read a whole number of 0 or more."""
+    if not (text.isascii() and text.isdigit()):
+        raise Malformed(f"'{text}' is not a whole number")
+    return int(text)
+
+
+def boolean(text: str) -> bool:
+    """Read 1 or 0."""
+    if text not in ("1", "0"):
+        raise Malformed(f"'{text}' is neither 1 nor 0")
+    return text == "1"
+
+
+def one_of(table: dict, text: str, what: str):
+    """Translate a word of the wire by a table."""
+    try:
+        return table[text]
+    except KeyError:
+        raise Malformed(f"unknown {what} '{text}'") from None
+
+
+def text_or_none(text: str) -> str | None:
+    """Read a text that may be absent."""
+    return None if text == "-" else text
+
+
+def loads(text: str) -> dict[str, float]:
+    """Read a load report.
+
+    >>> loads("util:0.5,x0:0.75"), loads("-")
+    ({'util': 0.5, 'x0': 0.75}, {})
+    """
+    if text == "-":
+        return {}
+    pairs = [pair.partition(":") for pair in text.split(",")]
+    if not all(colon for _, colon, _ in pairs):
+        raise Malformed(f"'{text}' is not a load report")
+    return {name: number(value) for name, _, value in pairs}
+
+
+def vip(parts: list[str]) -> i.Vip:
+    """Decode the settings of an instance; unknown ones are passed over."""
+    env: dict[str, str] = {}
+    for part in parts:
+        path, equals, value = part.partition("=")
+        if not equals:
+            raise Malformed(f"'{part}' is not a setting")
+        if value not in ("null", "-"):
+            env[path] = value
+
+    def get(path: str, default: float = 0.0) -> float:
+        return number(env[path]) if path in env else default
+
+    def flag(path: str) -> bool:
+        return env.get(path) == "true"
+
+    service_types = {}
+    for at in range(int(get("service_types.count"))):
+        path = f"service_types.{at}."
+        service_types[env.get(path + "name", "")] = i.ServiceType(
+            setup_target=get(path + "setup_target"),
+            kind=one_of(KINDS, env.get(path + "effect", "read_like"), "effect"),
+            group=env.get(path + "group", "all"),
+            window=get(path + "window"),
+        )
+    tenants = [env.get(f"tenants.{at}.name", "") for at in range(int(get("tenants.count")))]
+    held = env.get("family_info.tenant_quota_connections", "")
+    quotas = held.split(",") if held else []
+    return i.Vip(
+        service_types=service_types,
+        me=int(get("me")),
+        siblings=max(1, int(get("siblings", 1))),
+        # a tenant whose share is not stated has none to go beyond
+        tenant_connections={
+            name: number(text) for name, text in zip(tenants, quotas, strict=False) if text != "null"
+        },
+        shares_work=flag("family_info.groups"),
+        sizes_hold=env.get("weights", "silent") in ("nominal", "rough"),
+        probes=flag("limits.probes") and env.get("report.source", "silent") != "silent",
+        must_ask=env.get("discovery") == "ask",
+        ask_every=get("rules.ask_every", 10_000.0),
+        max_connects=max(1, int(get("limits.max_connects", 1))),
+        max_retry_after=get("limits.max_retry_after") if flag("limits.retry_after") else 0.0,
+        cold_from=get("rules.cold_from", 1.0),
+        warm_after=get("rules.warm_after"),
+        tip_multiple=get("rules.tip_multiple", 1.0),
+    )
+
+
+def row(parts: list[str]) -> i.Server:
+    """Decode one line of a server list."""
+    if len(parts) != 7:
+        raise Malformed(f"a row has 7 values, not {len(parts)}")
+    server, zone, _, cell, state, size, started = parts
+    return i.Server(
+        server, zone, integer(cell), one_of(STATES, state, "lifecycle"), number(size), number(started)
+    )
+
+
+def _ask(v: list[str]) -> i.Flow:
+    marks = integer(v[4])
+    return i.Flow(integer(v[0]), v[1], text_or_none(v[2]), text_or_none(v[3]), text_or_none(v[5]),
+                  number(v[7]), bool(marks & MID_FLOW), bool(marks & RETURNED))  # fmt: skip
+
+
+def _already_open(v: list[str]) -> i.AlreadyOpen:
+    tenant, key, group = map(text_or_none, (v[2], v[3], v[6]))
+    flow = i.Flow(integer(v[0]), v[1], tenant, group, key, number(v[4]))
+    return i.AlreadyOpen(flow, v[8])
+
+
+def _resolved(v: list[str]) -> i.Ended:
+    number(v[3]), integer(v[4])
+    return i.Ended(integer(v[0]), v[2], boolean(v[1]), one_of(RESULTS, v[5], "outcome"))
+
+
+def _notice(v: list[str]) -> i.LoadNoted | i.DelayNoted | None:
+    topic, value = integer(v[3]), number(v[4])
+    if topic == LOAD_CHANGED:
+        return i.LoadNoted(integer(v[0]), value)
+    return i.DelayNoted(v[2], value) if topic == MESSAGES_SLOW else None
+
+
+def _from_peer(v: list[str]) -> i.PeerSaid:
+    try:
+        return i.PeerSaid(integer(v[0]), b"" if v[1] == "-" else base64.b64decode(v[1], validate=True))
+    except binascii.Error:
+        raise Malformed(f"'{v[1]}' is not base64") from None
+
+
+# name of the message: how many values it has, and how they are read
+EVENTS = {
+    "ask": (8, _ask),
+    "already_open": (9, _already_open),
+    "under_way": (4, lambda v: i.Established(integer(v[0]), v[2])),
+    "notice": (5, _notice),
+    "resolved": (7, _resolved),
+    "withdrawn": (1, lambda v: i.Withdrawn(integer(v[0]))),
+    "alarm": (1, lambda v: i.Wake(v[0])),
+    "checked": (4, lambda v: i.Probed(v[0], v[1] == "S", loads(v[3]))),
+    "from_peer": (2, _from_peer),
+}
+
+
+def event(name: str, values: list[str]) -> i.Event | None:
+    """Decode one event; None for a notice on a topic that this balancer does not know.
+
+    >>> event("withdrawn", ["242166553"])
+    Withdrawn(id=242166553)
+    """
+    try:
+        count, read = EVENTS[name]
+    except KeyError:
+        raise Malformed(f"unknown message '{name}'") from None
+    if len(values) != count:
+        raise Malformed(f"{name} has {count} values, not {len(values)}")
+    return read(values)
+
+
+ACTIONS = {
+    i.Connect: lambda a: f"pass_on {a.id} {a.server} {a.within:.3f}",
+    i.Reject: lambda a: f"not_now {a.id} {a.retry_after:.3f}",
+    i.Abort: lambda a: f"abort {a.id}",
+    i.Move: lambda a: f"relocate {a.id}",
+    i.WakeMe: lambda a: f"remind {a.delay:.3f} {a.mark}",
+    i.Probe: lambda a: f"touch {a.server}",
+    i.Subscribe: lambda a: "listen 1",
+    i.Say: lambda a: f"remark {a.line}",
+}
+
+
+def line(action: i.Action) -> str:
+    """Write one action.
+
+    >>> line(i.Connect(7, "10.0.0.1:80", 80.0))
+    'pass_on 7 10.0.0.1:80 80.000'
+    """
+    return ACTIONS[type(action)](action)
--- /dev/null
+++ b/lotusroute/choice.py
@@ -0,0 +1,416 @@
+"""Every decision of the balancer, and nothing else.
+
+`Director(vip, seed)` is one balancer of one virtual ip. `decide(now, event)` takes what happened and
+returns what is to be done; `lotusroute/interface.py` defines both sides. The module is pure: the host
+brings the clock, the seed and all news.
+
+The design: a client's key hashes to a segment, a segment has a default server by highest hash, shared
+by all balancers; when usage is uneven one segment at a time moves from the busiest to the idlest.
+Beside it stand six mechanisms, the smallest departures that were found to work:
+  1. set-aside      a server that fails connects gets nothing for a fixed time with a random part
+  2. spill          a server that is overdriven passes new flows down the segment's hash order
+  3. warm-up turns  balancers take turns at a fresh server, by their own number
+  4. further tries  a failed connect goes down the hash order while time and connects remain
+  5. shedding       when no server has room, tenants beyond their share are told to come back
+  6. polite moves   connections leave an overdriven server a few at a time
+"""
+
+import math  # noqa: I001
+import random
+from hashlib import blake2b
+from zlib import crc32
+
+from lotusroute.interface import (
+    CHANGES, ERROR, FULL, GONE, NEVER_RAN, OK, ONCE_ONLY, READY, REFERENCED, REFUSED, REPEATABLE,
+    RESET, TIMEOUT, UNREACHABLE, Abort, Action, AlreadyOpen, Connect, DelayNoted, Ended, Established, Event,
+    Flow, LoadNoted, Move, PeerSaid, Probe, Probed, Reject, Say, Server, ServerList, Subscribe, Vip, Wake,
+    WakeMe, Withdrawn,
+)  # fmt: skip
+
+P = 8  # bits: 256 segments, a few dozen a server
+KEY_BITS = 1  # bits of P from the key where groups share work: a group spans 2 segments
+R = 0.8  # ratio: the paper's value
+FEW = 4  # connections: under this the busiest server is left alone, chance rules such counts
+TICK = 1_000.0  # ms: upkeep; as often as servers speak of slow messages
+CHECK = 5  # ticks: the design's 5 s between checks
+NEW_FOR = 10_000.0  # ms: a new server counts at the mean for so long, its count says nothing yet
+ASIDE = 4_000.0  # ms: most of the list's lateness about a dead server, and again half as random part
+BAD = 0.45  # share: two failed connects in a row, or one that found nobody
+OVERDRIVEN = 0.95  # load over capacity: above it messages start to queue
+HOT_FOR = 2_500.0  # ms: two and a half of the notes that come once a second
+PROBE_EVERY = 2  # ticks: a move shows within two seconds, and probes stay under their price
+PATIENCE = 2.0  # setup targets: how long one connect may take while others could follow
+MOVE_SHARE = 0.1  # share of own connections that leave an overdriven server in a tick
+WARM_MARGIN = 0.5  # share of a fresh server's budget used: it may be a small machine
+RATE_GAIN = 0.1  # share: arrivals are averaged over about ten ticks
+
+
+class _Host:
+    """A server as this balancer knows it."""
+
+    __slots__ = ("id", "zone", "cell", "state", "size", "started", "listed", "open", "bad", "aside", "hot",
+                 "load", "turn")  # fmt: skip
+
+    def __init__(self, line: Server, now: float) -> None:
+        self.id, self.state, self.started, self.listed = line.id, line.state, line.started, now
+        self.open: dict[int, _Held] = {}  # own connections, emptied as each ends
+        self.bad = self.aside = self.hot = 0.0
+        self.load: float | None = None
+        self.turn = -1
+
+
+class _Held:
+    """A flow that this balancer has not finished."""
+
+    __slots__ = ("flow", "segment", "tried", "ran", "ran_at", "sent_at", "host", "up", "load")
+
+    def __init__(self, flow: Flow, segment: int) -> None:
+        self.flow, self.segment = flow, segment
+        self.tried: list[str] = []
+        self.ran: _Host | None = None  # where it may have run first, and the time of that connect
+        self.ran_at = self.sent_at = 0.0
+        self.host: _Host | None = None
+        self.up = False
+        self.load = 0.0
+
+
+class Director:
+    """One balancer of one virtual ip."""
+
+    def __init__(self, vip: Vip, seed: int) -> None:
+        self.vip = vip
+        self.chance = random.Random(seed)
+        self.now = 0.0
+        self.out: list[Action] = []
+        self.hosts: dict[str, _Host] = {}  # servers listed; gone ones leave with their last connection
+        self.orders: dict[int, list[_Host]] = {}  # hash order by segment; cleared when the list changes
+        self.moved: dict[int, _Host] = {}  # overrides; one leaves with its server or when it is the default
+        self.counts: dict[int, int] = {}  # own flows by segment; a segment leaves at 0
+        self.tenants: dict[str | None, int] = {}  # own flows by tenant; as many as the vip has
+        self.held: dict[int, _Held] = {}  # flows not finished; each leaves with its end
+        self.ticks = 0
+        self.arrived = 0
+        self.rate = 0.0  # own arrivals a tick
+        self.subscribed = False
+        self.ask_at = 0.0
+        self.refusals = 0
+
+    def decide(self, now: float, event: Event) -> list[Action]:
+        """Take one event and return the actions it calls for, in order."""
+        self.now, self.out = now, []
+        self._on[type(event)](self, event)
+        return self.out
+
+    # The server list
+
+    def _server_list(self, event: ServerList) -> None:
+        if event.scope == REFUSED:
+            # A broken subscription goes unnoticed unless renewed; all renewing at once breaks it again.
+            self.subscribed = False
+            self.refusals += 1
+            self.ask_at = self.now + self.chance.uniform(0.2, 1.0) * min(self.vip.ask_every / 2,
+                                                                       500.0 * 2**self.refusals)
+            return
+        if not self.ticks:
+            self.ticks = 1
+            self._wake_me(self.chance.uniform(0.0, TICK))
+        elif self.vip.must_ask:
+            self.subscribed, self.refusals = True, 0
+        if event.scope != CHANGES:
+            listed = {line.id for line in event.servers}
+            for host in self.hosts.values():
+                if host.id not in listed:
+                    host.state = GONE
+        for line in event.servers:
+            self._listed(line)
+        for host in [h for h in self.hosts.values() if h.state == GONE and not h.open]:
+            del self.hosts[host.id]
+        self.orders.clear()
+        self.moved = {s: h for s, h in self.moved.items() if h.state == READY}
+
+    def _listed(self, line: Server) -> None:
+        host = self.hosts.get(line.id)
+        if host is None:
+            if line.state == GONE:
+                return
+            host = self.hosts[line.id] = _Host(line, self.now)
+            host.turn = self._turn(host)
+        elif line.started != host.started:
+            # Back from the dead: what was held against the old process says nothing of the new one.
+            host.started, host.listed = line.started, self.now
+            host.bad = host.aside = host.hot = 0.0
+            host.load = None
+            host.turn = self._turn(host)
+        host.zone, host.cell, host.state = line.zone, line.cell, line.state
+        host.size = line.size if self.vip.sizes_hold and line.size > 0 else 1.0
+
+    # The design: segments, defaults and moves
+
+    def _segment(self, flow: Flow) -> int:
+        key = crc32((flow.key or str(flow.id)).encode())
+        if not self.vip.shares_work or flow.group is None:
+            return key >> (32 - P)
+        group = crc32(flow.group.encode()) >> (32 - P + KEY_BITS)
+        return group << KEY_BITS | key >> (32 - KEY_BITS)
+
+    def _order(self, segment: int) -> list[_Host]:
+        order = self.orders.get(segment)
+        if order is None:
+            def rank(host: _Host) -> tuple[float, str]:
+                digest = blake2b(f"{segment} {host.id}".encode(), digest_size=6).digest()
+                drawn = (int.from_bytes(digest) + 1) / (1 << 48)
+                return host.size / -math.log(drawn) if drawn < 1 else math.inf, host.id
+
+            ready = [h for h in self.hosts.values() if h.state == READY]
+            order = self.orders[segment] = sorted(ready, key=rank, reverse=True)
+        return order
+
+    def _usage(self, host: _Host) -> float:
+        return host.load if host.load is not None else len(host.open) / host.size
+
+    def _check(self) -> None:
+        """Move one segment from the busiest server to the idlest, where their ratio is under R."""
+        old = [h for h in self.hosts.values() if h.state == READY and h.aside <= self.now
+               and (h.listed + NEW_FOR <= self.now or h.load is not None)]
+        if len(old) < 2:
+            return
+        usage = {h.id: self._usage(h) for h in old}
+        busiest = max(old, key=lambda h: (usage[h.id], h.id))
+        idlest = min(old, key=lambda h: (usage[h.id], h.id))
+        if len(busiest.open) < FEW or usage[idlest.id] >= R * usage[busiest.id]:
+            return
+        gap = (usage[busiest.id] - usage[idlest.id]) / usage[busiest.id] * len(busiest.open) / 2
+        own = [s for s in sorted(self.counts) if self._entry(s) is busiest]
+        if own:
+            segment = min(own, key=lambda s: abs(self.counts[s] - gap))
+            self.moved[segment] = idlest
+            if self._order(segment)[0] is idlest:
+                del self.moved[segment]
+
+    def _entry(self, segment: int) -> _Host | None:
+        return self.moved.get(segment) or next(iter(self._order(segment)), None)
+
+    # Flows
+
+    def _flow(self, flow: Flow) -> None:
+        self.arrived += 1
+        held = self.held[flow.id] = self._hold(flow)
+        if self._crowded(flow):
+            self._give_up(held)
+        else:
+            self._connect(held)
+
+    def _hold(self, flow: Flow) -> _Held:
+        held = _Held(flow, self._segment(flow))
+        self.counts[held.segment] = self.counts.get(held.segment, 0) + 1
+        self.tenants[flow.tenant] = self.tenants.get(flow.tenant, 0) + 1
+        return held
+
+    def _crowded(self, flow: Flow) -> bool:
+        """Shedding: no server has room and this tenant is beyond its share."""
+        share = self.vip.tenant_connections.get(flow.tenant)
+        return (share is not None and not flow.mid_flow
+                and self.tenants[flow.tenant] * self.vip.siblings > share
+                and all(h.hot > self.now for h in self.hosts.values() if h.state == READY))
+
+    def _pick(self, held: _Held) -> _Host | None:
+        """The segment's entry, or the next in its hash order that is fit for this flow."""
+        order = self._order(held.segment)
+        entry = self.moved.get(held.segment)
+        if entry is not None and not held.flow.mid_flow:
+            order = [entry, *order]
+        hot = aside = None
+        for host in order:
+            if host.id in held.tried or not self._remembers(held, host):
+                continue
+            if host.aside > self.now:
+                aside = aside or host
+            elif host.hot > self.now and not held.flow.mid_flow:
+                hot = hot or host
+            elif self._turn_taken(host):
+                return host
+        for host in (hot, aside):
+            if host is not None and self._turn_taken(host):
+                return host
+        return None
+
+    def _remembers(self, held: _Held, host: _Host) -> bool:
+        """A referenced flow that may have run goes only where its repeat is known and dropped."""
+        if held.ran is None:
+            return True
+        kind = self.vip.service_types[held.flow.service_type]
+        if kind.kind != REFERENCED:
+            return kind.kind != ONCE_ONLY
+        same = {"zone": host.zone == held.ran.zone, "cell": host.cell == held.ran.cell}
+        return self.now < held.ran_at + kind.window and same.get(kind.group, True)
+
+    def _connect(self, held: _Held) -> None:
+        flow = held.flow
+        host = None
+        if len(held.tried) < self.vip.max_connects and self.now < flow.due:
+            host = self._pick(held)
+        if host is None:
+            self._give_up(held)
+            return
+        left = flow.due - self.now
+        within = min(left / 2, PATIENCE * self.vip.service_types[flow.service_type].setup_target)
+        if len(held.tried) + 1 >= self.vip.max_connects:
+            within = 0.0
+        held.tried.append(host.id)
+        held.sent_at, held.host = self.now, host
+        host.open[flow.id] = held
+        self.out.append(Connect(flow.id, host.id, within))
+
+    def _give_up(self, held: _Held) -> None:
+        kind = self.vip.service_types[held.flow.service_type]
+        known = kind.kind == REFERENCED and kind.group == "all"
+        if held.ran is None or kind.kind == REPEATABLE or known:
+            self.out.append(Reject(held.flow.id, min(self.vip.max_retry_after, 1_000.0)))
+        else:
+            self.out.append(Abort(held.flow.id))
+        self._finish(held)
+
+    def _finish(self, held: _Held) -> None:
+        flow = held.flow
+        if self.held.pop(flow.id, None) is None:
+            return
+        self.counts[held.segment] -= 1
+        if not self.counts[held.segment]:
+            del self.counts[held.segment]
+        self.tenants[flow.tenant] -= 1
+        if held.host is not None:
+            held.host.open.pop(flow.id, None)
+
+    def _already_open(self, event: AlreadyOpen) -> None:
+        held = self.held[event.flow.id] = self._hold(event.flow)
+        host = held.host = self.hosts.get(event.server)
+        held.up = True
+        if host is not None:
+            host.open[event.flow.id] = held
+
+    def _established(self, event: Established) -> None:
+        held = self.held.get(event.id)
+        if held is not None:
+            held.up = True
+            if held.host is not None:
+                held.host.bad *= 0.5
+
+    def _ended(self, event: Ended) -> None:
+        held = self.held.get(event.id)
+        if held is None:
+            return
+        host = held.host
+        if host is not None:
+            self._judge(host, held, event.result)
+            host.open.pop(event.id, None)
+        if event.final:
+            self._finish(held)
+            return
+        if event.result not in NEVER_RAN and held.ran is None:
+            held.ran, held.ran_at = host, held.sent_at
+        self._connect(held)
+
+    def _withdrawn(self, event: Withdrawn) -> None:
+        held = self.held.get(event.id)
+        if held is not None:
+            self._finish(held)
+
+    # The health of servers
+
+    def _judge(self, host: _Host, held: _Held, result: str) -> None:
+        if result == OK:
+            host.bad *= 0.5
+        elif result == FULL:
+            host.hot = max(host.hot, self.now + TICK)
+        elif result == UNREACHABLE:
+            # Silent death shows in connects long before the list tells of it.
+            self._blame(host, 0.6)
+        elif result in (ERROR, TIMEOUT) or (result == RESET and not held.up):
+            self._blame(host, 0.3)
+        elif result == RESET:
+            # Many connections cut at once: the process is gone. One cut now and then: it sheds load.
+            self._blame(host, 0.15)
+
+    def _blame(self, host: _Host, weight: float) -> None:
+        host.bad += weight * (1 - host.bad)
+        if host.bad >= BAD and host.aside <= self.now:
+            host.aside = self.now + ASIDE + self.chance.uniform(0.0, ASIDE / 2)
+            self.out.append(Say(f"set aside {host.id}"))
+
+    def _load_noted(self, event: LoadNoted) -> None:
+        held = self.held.get(event.id)
+        if held is not None:
+            held.load = event.load
+
+    def _delay_noted(self, event: DelayNoted) -> None:
+        host = self.hosts.get(event.server)
+        if host is not None:
+            slow = min(t.setup_target for t in self.vip.service_types.values()) / 3
+            host.hot = self.now + HOT_FOR if event.delay >= slow else 0.0
+
+    def _probed(self, event: Probed) -> None:
+        host = self.hosts.get(event.server)
+        if host is None:
+            return
+        load = event.loads.get("x0", event.loads.get("util"))
+        if event.ok and load is not None:
+            host.load = load
+            host.hot = self.now + HOT_FOR if load > OVERDRIVEN else 0.0
+
+    def _turn(self, host: _Host) -> int:
+        """How many of my turns at a fresh server have come by now, were its budget spent evenly."""
+        vip, age = self.vip, self.now - host.started
+        servers = sum(h.state == READY for h in self.hosts.values()) or 1
+        fair = WARM_MARGIN * vip.tip_multiple * self.rate / TICK * vip.siblings / servers
+        grown = vip.cold_from * age + (1 - vip.cold_from) * age * age / (2 * vip.warm_after)
+        return int((fair * grown - vip.me) // vip.siblings)
+
+    def _turn_taken(self, host: _Host) -> bool:
+        """Cold servers fall over under several balancers that each think themselves alone."""
+        if not host.started or self.now >= host.started + self.vip.warm_after:
+            return True
+        turn = self._turn(host)
+        if turn <= host.turn:
+            return False
+        host.turn = turn
+        return True
+
+    # Upkeep
+
+    def _wake(self, event: Wake) -> None:
+        self._wake_me(TICK)
+        self.ticks += 1
+        self.rate += RATE_GAIN * (self.arrived - self.rate)
+        self.arrived = 0
+        if self.vip.must_ask and not self.subscribed and self.now >= self.ask_at:
+            self.ask_at = self.now + self.vip.ask_every / 2
+            self.out.append(Subscribe())
+        ready = [h for h in self.hosts.values() if h.state == READY]
+        if self.vip.probes:
+            for host in ready[self.ticks % PROBE_EVERY::PROBE_EVERY]:
+                self.out.append(Probe(host.id))
+        if any(h.hot <= self.now and h.aside <= self.now for h in ready):
+            for host in ready:
+                if host.hot > self.now:
+                    self._move_off(host)
+        if not self.ticks % CHECK:
+            self._check()
+
+    def _move_off(self, host: _Host) -> None:
+        able = [h for h in host.open.values() if h.up and not h.flow.returned]
+        able.sort(key=lambda h: (-h.load, h.flow.id))
+        for held in able[: math.ceil(len(able) * MOVE_SHARE)]:
+            self.out.append(Move(held.flow.id))
+            held.up = False
+
+    def _wake_me(self, delay: float) -> None:
+        self.out.append(WakeMe(delay, "tick"))
+
+    def _peer_said(self, event: PeerSaid) -> None:
+        """Peers are not needed: each balancer keeps the rules alone."""
+
+    _on = {
+        ServerList: _server_list, Flow: _flow, AlreadyOpen: _already_open, Established: _established,
+        Ended: _ended, Withdrawn: _withdrawn, LoadNoted: _load_noted, DelayNoted: _delay_noted,
+        Probed: _probed, Wake: _wake, PeerSaid: _peer_said,
+    }  # fmt: skip
