--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -226,12 +226,11 @@
             if host.aside > self.now:
                 aside = aside or host
             elif host.hot > self.now and not held.flow.mid_flow:
-                hot = hot or host
+                hot = host
             elif self._turn_taken(host):
                 return host
-        for host in (hot, aside):
-            if host is not None and self._turn_taken(host):
-                return host
+        if aside is not None and hot is None and self._turn_taken(aside):
+            return aside
         return None
 
     def _remembers(self, held: _Held, host: _Host) -> bool:
