Pace flows to jammed servers by turns, as for cold ones

Cause: returning clients joined a jammed server faster than it could serve joins, each was reset and came again. Cold servers' budget counted returning clients as arrivals and was far too wide. Only flows that come for the first time count as arrivals now.

--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -42,6 +42,8 @@
 PATIENCE = 2.0  # setup targets: how long one connect may take while others could follow
 MOVE_SHARE = 0.1  # share of own connections that leave an overdriven server in a tick
 WARM_MARGIN = 0.5  # share of a fresh server's budget used: it may be a small machine
+PACE = 3.0  # times the fair share of first arrivals that a jammed server gets while it recovers
+RECOVERY = 6_000.0  # ms without a sign of trouble until a jammed server counts as well
 RATE_GAIN = 0.1  # share: arrivals are averaged over about ten ticks
 
 
@@ -49,14 +51,16 @@
     """A server as this balancer knows it."""
 
     __slots__ = ("id", "zone", "cell", "state", "size", "started", "listed", "open", "bad", "aside", "hot",
-                 "load", "turn")  # fmt: skip
+                 "load", "turn", "turns",
+                 "weak")  # fmt: skip
 
     def __init__(self, line: Server, now: float) -> None:
         self.id, self.state, self.started, self.listed = line.id, line.state, line.started, now
+        self.size = 1.0
         self.open: dict[int, _Held] = {}  # own connections, emptied as each ends
-        self.bad = self.aside = self.hot = 0.0
+        self.bad = self.aside = self.hot = self.weak = 0.0
+        self.turn, self.turns = now, 0  # time and number of own turns while it is cold or jammed
         self.load: float | None = None
-        self.turn = -1
 
 
 class _Held:
@@ -134,13 +138,12 @@
             if line.state == GONE:
                 return
             host = self.hosts[line.id] = _Host(line, self.now)
-            host.turn = self._turn(host)
         elif line.started != host.started:
             # Back from the dead: what was held against the old process says nothing of the new one.
             host.started, host.listed = line.started, self.now
-            host.bad = host.aside = host.hot = 0.0
+            host.bad = host.aside = host.hot = host.weak = 0.0
             host.load = None
-            host.turn = self._turn(host)
+            host.turn, host.turns = self.now, 0
         host.zone, host.cell, host.state = line.zone, line.cell, line.state
         host.size = line.size if self.vip.sizes_hold and line.size > 0 else 1.0
 
@@ -193,7 +196,7 @@
     # Flows
 
     def _flow(self, flow: Flow) -> None:
-        self.arrived += 1
+        self.arrived += not (flow.returned or flow.mid_flow)
         held = self.held[flow.id] = self._hold(flow)
         if self._crowded(flow):
             self._give_up(held)
@@ -299,6 +302,8 @@
         if held is None:
             return
         host = held.host
+        if event.result == TIMEOUT and host is not None:
+            self._weaken(host)
         if host is not None:
             self._judge(host, held, event.result)
             host.open.pop(event.id, None)
@@ -320,6 +325,7 @@
         if result == OK:
             host.bad *= 0.5
         elif result == FULL:
+            self._weaken(host)
             host.hot = max(host.hot, self.now + TICK)
         elif result == UNREACHABLE:
             # Silent death shows in connects long before the list tells of it.
@@ -328,6 +334,7 @@
             self._blame(host, 0.3)
         elif result == RESET:
             # Many connections cut at once: the process is gone. One cut now and then: it sheds load.
+            self._weaken(host)
             self._blame(host, 0.15)
 
     def _blame(self, host: _Host, weight: float) -> None:
@@ -346,6 +353,7 @@
         if host is not None:
             slow = min(t.setup_target for t in self.vip.service_types.values()) / 3
             host.hot = self.now + HOT_FOR if event.delay >= slow else 0.0
+            self._weaken(host)
 
     def _probed(self, event: Probed) -> None:
         host = self.hosts.get(event.server)
@@ -356,24 +364,36 @@
             host.load = load
             host.hot = self.now + HOT_FOR if load > OVERDRIVEN else 0.0
 
-    def _turn(self, host: _Host) -> int:
-        """How many of my turns at a fresh server have come by now, were its budget spent evenly."""
-        vip, age = self.vip, self.now - host.started
-        servers = sum(h.state == READY for h in self.hosts.values()) or 1
-        fair = WARM_MARGIN * vip.tip_multiple * self.rate / TICK * vip.siblings / servers
-        grown = vip.cold_from * age + (1 - vip.cold_from) * age * age / (2 * vip.warm_after)
-        return int((fair * grown - vip.me) // vip.siblings)
+    def _interval(self, host: _Host) -> float:
+        """The time between two flows of all balancers to a weak server; own arrivals speak for theirs."""
+        vip = self.vip
+        ready = [h.size for h in self.hosts.values() if h.state == READY]
+        fair = self.rate * self.vip.siblings / TICK * host.size / max(sum(ready), host.size)
+        age = self.now - host.started
+        if host.started and age < vip.warm_after:
+            share = vip.cold_from + (1 - vip.cold_from) * max(0.0, age) / vip.warm_after
+            fair *= WARM_MARGIN * vip.tip_multiple * share
+        else:
+            fair *= PACE
+        return 1 / max(fair, 1e-9)
 
     def _turn_taken(self, host: _Host) -> bool:
-        """Cold servers fall over under several balancers that each think themselves alone."""
-        if not host.started or self.now >= host.started + self.vip.warm_after:
+        """Pace what goes to a cold or jammed server: under several balancers that each think themselves
+        alone the one falls over, and a crowd of returning clients never lets the other recover."""
+        if host.weak <= self.now and (not host.started or self.now >= host.started + self.vip.warm_after):
             return True
-        turn = self._turn(host)
-        if turn <= host.turn:
+        number = self.vip.me + 1 if not host.turns else self.vip.siblings
+        if self.now < host.turn + number * self._interval(host):
             return False
-        host.turn = turn
+        host.turn = self.now
+        host.turns += 1
         return True
 
+    def _weaken(self, host: _Host) -> None:
+        if host.weak <= self.now:
+            host.turn, host.turns = self.now, 0
+        host.weak = self.now + RECOVERY
+
     # Upkeep
 
     def _wake(self, event: Wake) -> None:
@@ -388,7 +408,7 @@
         if self.vip.probes:
             for host in ready[self.ticks % PROBE_EVERY::PROBE_EVERY]:
                 self.out.append(Probe(host.id))
-        if any(h.hot <= self.now and h.aside <= self.now for h in ready):
+        if sum(h.hot > self.now or h.aside > self.now for h in ready) * 3 <= len(ready):
             for host in ready:
                 if host.hot > self.now:
                     self._move_off(host)
