--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -27,7 +27,7 @@
     WakeMe, Withdrawn,
 )  # fmt: skip
 
-P = 8  # bits: 256 segments, a few dozen a server
+P = 10  # bits: 256 segments, a few dozen a server
 KEY_BITS = 1  # bits of P from the key where groups share work: a group spans 2 segments
 R = 0.8  # ratio: the paper's value
 FEW = 4  # connections: under this the busiest server is left alone, chance rules such counts
@@ -42,7 +42,7 @@
 PATIENCE = 2.0  # setup targets: how long one connect may take while others could follow
 MOVE_SHARE = 0.1  # share of own connections that leave an overdriven server in a tick
 WARM_MARGIN = 0.5  # share of a fresh server's budget used: it may be a small machine
-PACE = 3.0  # times the fair share of first arrivals that a jammed server gets while it recovers
+PACE = 1.5  # times the fair share of first arrivals that a jammed server gets while it recovers
 RECOVERY = 6_000.0  # ms without a sign of trouble until a jammed server counts as well
 RATE_GAIN = 0.1  # share: arrivals are averaged over about ten ticks
 
