--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -28,7 +28,7 @@
 )  # fmt: skip
 
 P = 10  # bits: 256 segments, a few dozen a server
-KEY_BITS = 1  # bits of P from the key where groups share work: a group spans 2 segments
+KEY_BITS = 0  # bits of P from the key where groups share work: a group spans 2 segments
 R = 0.8  # ratio: the paper's value
 FEW = 4  # connections: under this the busiest server is left alone, chance rules such counts
 TICK = 1_000.0  # ms: upkeep; as often as servers speak of slow messages
