Overdriven servers shed by polite moves down to a target; calm probes end the pacing

Cause: in a shared slowdown a second of work stays piled up on each server and nobody earns; and after it returning clients were still paced for 6 s though servers stood at 0.45.

--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -37,10 +37,13 @@
 ASIDE = 4_000.0  # ms: most of the list's lateness about a dead server, and again half as random part
 BAD = 0.45  # share: two failed connects in a row, or one that found nobody
 OVERDRIVEN = 0.95  # load over capacity: above it messages start to queue
+CALM = 0.7  # load over capacity: under it a jammed server counts as well again at once
 HOT_FOR = 2_500.0  # ms: two and a half of the notes that come once a second
 PROBE_EVERY = 2  # ticks: a move shows within two seconds, and probes stay under their price
 PATIENCE = 2.0  # setup targets: how long one connect may take while others could follow
-MOVE_SHARE = 0.1  # share of own connections that leave an overdriven server in a tick
+MOVE_EVERY = 2_000.0  # ms: until a probe can show what the last moves did
+TARGET = 0.8  # load over capacity to get an overdriven server down to; what is piled up must drain
+MOVE_SHARE = 0.15  # share of own connections that leave an overdriven server in a tick
 WARM_MARGIN = 0.5  # share of a fresh server's budget used: it may be a small machine
 PACE = 1.5  # times the fair share of first arrivals that a jammed server gets while it recovers
 RECOVERY = 6_000.0  # ms without a sign of trouble until a jammed server counts as well
@@ -52,13 +55,13 @@
 
     __slots__ = ("id", "zone", "cell", "state", "size", "started", "listed", "open", "bad", "aside", "hot",
                  "load", "turn", "turns",
-                 "weak")  # fmt: skip
+                 "weak", "moved")  # fmt: skip
 
     def __init__(self, line: Server, now: float) -> None:
         self.id, self.state, self.started, self.listed = line.id, line.state, line.started, now
         self.size = 1.0
         self.open: dict[int, _Held] = {}  # own connections, emptied as each ends
-        self.bad = self.aside = self.hot = self.weak = 0.0
+        self.bad = self.aside = self.hot = self.weak = self.moved = 0.0
         self.turn, self.turns = now, 0  # time and number of own turns while it is cold or jammed
         self.load: float | None = None
 
@@ -362,7 +365,11 @@
         load = event.loads.get("x0", event.loads.get("util"))
         if event.ok and load is not None:
             host.load = load
-            host.hot = self.now + HOT_FOR if load > OVERDRIVEN else 0.0
+            if load > OVERDRIVEN:
+                host.hot = self.now + HOT_FOR
+                self._weaken(host)
+            elif load < CALM and host.hot <= self.now:
+                host.weak = 0.0
 
     def _interval(self, host: _Host) -> float:
         """The time between two flows of all balancers to a weak server; own arrivals speak for theirs."""
@@ -408,17 +415,20 @@
         if self.vip.probes:
             for host in ready[self.ticks % PROBE_EVERY::PROBE_EVERY]:
                 self.out.append(Probe(host.id))
-        if sum(h.hot > self.now or h.aside > self.now for h in ready) * 3 <= len(ready):
-            for host in ready:
-                if host.hot > self.now:
-                    self._move_off(host)
+        for host in ready:
+            if host.hot > self.now:
+                self._move_off(host)
         if not self.ticks % CHECK:
             self._check()
 
     def _move_off(self, host: _Host) -> None:
-        able = [h for h in host.open.values() if h.up and not h.flow.returned]
+        if self.now < host.moved + MOVE_EVERY:
+            return
+        host.moved = self.now
+        able = [h for h in host.open.values() if h.up]
         able.sort(key=lambda h: (-h.load, h.flow.id))
-        for held in able[: math.ceil(len(able) * MOVE_SHARE)]:
+        share = MOVE_SHARE if host.load is None else max(0.0, 1 - TARGET / max(host.load, 0.01))
+        for held in able[: int(len(able) * share + self.chance.random())]:
             self.out.append(Move(held.flow.id))
             held.up = False
 
