--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -55,13 +55,14 @@
 
     __slots__ = ("id", "zone", "cell", "state", "size", "started", "listed", "open", "bad", "aside", "hot",
                  "load", "turn", "turns",
-                 "weak", "moved")  # fmt: skip
+                 "weak", "moved", "room", "joined")  # fmt: skip
 
     def __init__(self, line: Server, now: float) -> None:
         self.id, self.state, self.started, self.listed = line.id, line.state, line.started, now
         self.size = 1.0
         self.open: dict[int, _Held] = {}  # own connections, emptied as each ends
         self.bad = self.aside = self.hot = self.weak = self.moved = 0.0
+        self.room, self.joined = 0.0, 0  # own connections that fit by the last probe; made since
         self.turn, self.turns = now, 0  # time and number of own turns while it is cold or jammed
         self.load: float | None = None
 
@@ -264,6 +265,7 @@
         held.tried.append(host.id)
         held.sent_at, held.host = self.now, host
         host.open[flow.id] = held
+        host.joined += 1
         self.out.append(Connect(flow.id, host.id, within))
 
     def _give_up(self, held: _Held) -> None:
@@ -368,8 +370,13 @@
             if load > OVERDRIVEN:
                 host.hot = self.now + HOT_FOR
                 self._weaken(host)
-            elif load < CALM and host.hot <= self.now:
+            elif load < CALM and host.hot <= self.now and host.room >= 1:
                 host.weak = 0.0
+            # A crowd that waits for a jammed server fills it anew in one go: let in what fits, own share.
+            settled = len(host.open) - host.joined
+            fits = settled * (TARGET / max(load, 0.05) - 1) - host.joined
+            host.room = max(fits, float(load < CALM))
+            host.joined = 0
 
     def _interval(self, host: _Host) -> float:
         """The time between two flows of all balancers to a weak server; own arrivals speak for theirs."""
@@ -377,18 +384,24 @@
         ready = [h.size for h in self.hosts.values() if h.state == READY]
         fair = self.rate * self.vip.siblings / TICK * host.size / max(sum(ready), host.size)
         age = self.now - host.started
-        if host.started and age < vip.warm_after:
+        if self._cold(host):
             share = vip.cold_from + (1 - vip.cold_from) * max(0.0, age) / vip.warm_after
             fair *= WARM_MARGIN * vip.tip_multiple * share
         else:
             fair *= PACE
         return 1 / max(fair, 1e-9)
 
+    def _cold(self, host: _Host) -> bool:
+        return host.started > 0 and self.now < host.started + self.vip.warm_after
+
     def _turn_taken(self, host: _Host) -> bool:
         """Pace what goes to a cold or jammed server: under several balancers that each think themselves
         alone the one falls over, and a crowd of returning clients never lets the other recover."""
-        if host.weak <= self.now and (not host.started or self.now >= host.started + self.vip.warm_after):
+        if host.weak <= self.now and not self._cold(host):
             return True
+        if host.load is not None and host.weak > self.now and not self._cold(host):
+            host.room -= 1
+            return host.room >= 0
         number = self.vip.me + 1 if not host.turns else self.vip.siblings
         if self.now < host.turn + number * self._interval(host):
             return False
