--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -31,7 +31,7 @@
 KEY_BITS = 0  # bits of P from the key where groups share work: a group spans 2 segments
 R = 0.8  # ratio: the paper's value
 FEW = 4  # connections: under this the busiest server is left alone, chance rules such counts
-TICK = 1_000.0  # ms: upkeep; as often as servers speak of slow messages
+TICK = 1_000.0  # ms: upkeep and probes; as often as servers speak of slow messages
 CHECK = 5  # ticks: the design's 5 s between checks
 NEW_FOR = 10_000.0  # ms: a new server counts at the mean for so long, its count says nothing yet
 ASIDE = 4_000.0  # ms: most of the list's lateness about a dead server, and again half as random part
@@ -39,7 +39,6 @@
 OVERDRIVEN = 0.95  # load over capacity: above it messages start to queue
 CALM = 0.7  # load over capacity: under it a jammed server counts as well again at once
 HOT_FOR = 2_500.0  # ms: two and a half of the notes that come once a second
-PROBE_EVERY = 2  # ticks: a move shows within two seconds, and probes stay under their price
 PATIENCE = 2.0  # setup targets: how long one connect may take while others could follow
 MOVE_EVERY = 2_000.0  # ms: until a probe can show what the last moves did
 TARGET = 0.8  # load over capacity to get an overdriven server down to; what is piled up must drain
@@ -426,8 +425,7 @@
             self.out.append(Subscribe())
         ready = [h for h in self.hosts.values() if h.state == READY]
         if self.vip.probes:
-            for host in ready[self.ticks % PROBE_EVERY::PROBE_EVERY]:
-                self.out.append(Probe(host.id))
+            self.out.extend(Probe(host.id) for host in ready)
         for host in ready:
             if host.hot > self.now:
                 self._move_off(host)
