Flows spill over four servers of their order at most

Cause: in a jam each group spread over all servers, and each server paid for every group's shared work.

--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -29,6 +29,7 @@
 
 P = 10  # bits: 256 segments, a few dozen a server
 KEY_BITS = 0  # bits of P from the key where groups share work: a group spans 2 segments
+DEPTH = 4  # servers of a segment's order it may spill over: more scatter groups that share work
 R = 0.8  # ratio: the paper's value
 FEW = 4  # connections: under this the busiest server is left alone, chance rules such counts
 TICK = 1_000.0  # ms: upkeep and probes; as often as servers speak of slow messages
@@ -226,7 +227,7 @@
         if entry is not None and not held.flow.mid_flow:
             order = [entry, *order]
         hot = aside = None
-        for host in order:
+        for host in order[:DEPTH]:
             if host.id in held.tried or not self._remembers(held, host):
                 continue
             if host.aside > self.now:
