--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -46,7 +46,7 @@
 MOVE_SHARE = 0.15  # share of own connections that leave an overdriven server in a tick
 WARM_MARGIN = 0.5  # share of a fresh server's budget used: it may be a small machine
 PACE = 1.5  # times the fair share of first arrivals that a jammed server gets while it recovers
-RECOVERY = 6_000.0  # ms without a sign of trouble until a jammed server counts as well
+RECOVERY = 12_000.0  # ms without a sign of trouble until a jammed server counts as well
 RATE_GAIN = 0.1  # share: arrivals are averaged over about ten ticks
 
 
