--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -44,7 +44,6 @@
 MOVE_EVERY = 2_000.0  # ms: until a probe can show what the last moves did
 TARGET = 0.8  # load over capacity to get an overdriven server down to; what is piled up must drain
 MOVE_SHARE = 0.15  # share of own connections that leave an overdriven server in a tick
-WARM_MARGIN = 0.5  # share of a fresh server's budget used: it may be a small machine
 PACE = 1.5  # times the fair share of first arrivals that a jammed server gets while it recovers
 RECOVERY = 12_000.0  # ms without a sign of trouble until a jammed server counts as well
 RATE_GAIN = 0.1  # share: arrivals are averaged over about ten ticks
@@ -379,14 +378,15 @@
             host.joined = 0
 
     def _interval(self, host: _Host) -> float:
-        """The time between two flows of all balancers to a weak server; own arrivals speak for theirs."""
+        """The time between two flows of all balancers to a weak server; own arrivals speak for theirs.
+        A cold server's capacity is not told, but what a warm one bears now lies under it."""
         vip = self.vip
         ready = [h.size for h in self.hosts.values() if h.state == READY]
         fair = self.rate * self.vip.siblings / TICK * host.size / max(sum(ready), host.size)
         age = self.now - host.started
         if self._cold(host):
             share = vip.cold_from + (1 - vip.cold_from) * max(0.0, age) / vip.warm_after
-            fair *= WARM_MARGIN * vip.tip_multiple * share
+            fair *= vip.tip_multiple * share
         else:
             fair *= PACE
         return 1 / max(fair, 1e-9)
