--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -45,6 +45,7 @@
 TARGET = 0.8  # load over capacity to get an overdriven server down to; what is piled up must drain
 MOVE_SHARE = 0.15  # share of own connections that leave an overdriven server in a tick
 PACE = 1.5  # times the fair share of first arrivals that a jammed server gets while it recovers
+DOUBLING = 4_000.0  # ms without a sign of trouble after which that pace doubles
 RECOVERY = 12_000.0  # ms without a sign of trouble until a jammed server counts as well
 RATE_GAIN = 0.1  # share: arrivals are averaged over about ten ticks
 
@@ -213,11 +214,11 @@
         return held
 
     def _crowded(self, flow: Flow) -> bool:
-        """Shedding: no server has room and this tenant is beyond its share."""
+        """Shedding: the default is jammed or was lately, and this tenant is beyond its share."""
         share = self.vip.tenant_connections.get(flow.tenant)
         return (share is not None and not flow.mid_flow
                 and self.tenants[flow.tenant] * self.vip.siblings > share
-                and all(h.hot > self.now for h in self.hosts.values() if h.state == READY))
+                and any(h.weak > self.now for h in self._order(self._segment(flow))[:1]))
 
     def _pick(self, held: _Held) -> _Host | None:
         """The segment's entry, or the next in its hash order that is fit for this flow."""
@@ -388,7 +389,7 @@
             share = vip.cold_from + (1 - vip.cold_from) * max(0.0, age) / vip.warm_after
             fair *= vip.tip_multiple * share
         else:
-            fair *= PACE
+            fair *= PACE * 2 ** ((self.now + RECOVERY - host.weak) / DOUBLING)
         return 1 / max(fair, 1e-9)
 
     def _cold(self, host: _Host) -> bool:
