Spill over one further server only while half of the fleet is jammed

Cause: with most of the fleet jammed, groups scattered over four servers cost each server their shared work.

--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -30,6 +30,7 @@
 P = 10  # bits: 256 segments, a few dozen a server
 KEY_BITS = 0  # bits of P from the key where groups share work: a group spans 2 segments
 DEPTH = 4  # servers of a segment's order it may spill over: more scatter groups that share work
+JAMMED = 0.5  # share of servers: beyond it flows spill over one server only
 R = 0.8  # ratio: the paper's value
 FEW = 4  # connections: under this the busiest server is left alone, chance rules such counts
 TICK = 1_000.0  # ms: upkeep and probes; as often as servers speak of slow messages
@@ -97,6 +98,7 @@
         self.tenants: dict[str | None, int] = {}  # own flows by tenant; as many as the vip has
         self.held: dict[int, _Held] = {}  # flows not finished; each leaves with its end
         self.ticks = 0
+        self.depth = DEPTH  # of spilling, by the last tick's look at the fleet
         self.arrived = 0
         self.rate = 0.0  # own arrivals a tick
         self.subscribed = False
@@ -227,7 +229,7 @@
         if entry is not None and not held.flow.mid_flow:
             order = [entry, *order]
         hot = aside = None
-        for host in order[:DEPTH]:
+        for host in order[: self.depth]:
             if host.id in held.tried or not self._remembers(held, host):
                 continue
             if host.aside > self.now:
@@ -426,6 +428,9 @@
             self.ask_at = self.now + self.vip.ask_every / 2
             self.out.append(Subscribe())
         ready = [h for h in self.hosts.values() if h.state == READY]
+        # Where much of the fleet is jammed, scattered groups cost more than the spill relieves.
+        jammed = sum(h.weak > self.now for h in ready)
+        self.depth = DEPTH if jammed <= JAMMED * len(ready) else 2
         if self.vip.probes:
             self.out.extend(Probe(host.id) for host in ready)
         for host in ready:
