--- a/lotusroute/adapter/__main__.py
+++ b/lotusroute/adapter/__main__.py
@@ -114,7 +114,7 @@
             continue
         try:
             reply = host.read(text)
-        except Malformed as fault:
+        except (Malformed, ValueError, KeyError, OverflowError) as fault:
             raise Malformed(f"line {at}: {fault}") from None
         if reply is not None:
             yield reply
--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -8,11 +8,11 @@
 by all balancers; when usage is uneven one segment at a time moves from the busiest to the idlest.
 Beside it stand six mechanisms, the smallest departures that were found to work:
   1. set-aside      a server that fails connects gets nothing for a fixed time with a random part
-  2. spill          a server that is overdriven passes new flows down the segment's hash order
-  3. warm-up turns  balancers take turns at a fresh server, by their own number
+  2. spill          a jammed server passes new flows down the segment's hash order, a few steps at most
+  3. turns          balancers take turns at cold and jammed servers, which get no more than they can bear
   4. further tries  a failed connect goes down the hash order while time and connects remain
-  5. shedding       when no server has room, tenants beyond their share are told to come back
-  6. polite moves   connections leave an overdriven server a few at a time
+  5. shedding       where servers are jammed, tenants beyond their share are told to come back first
+  6. polite moves   connections leave an overdriven server, the heaviest first
 """
 
 import math  # noqa: I001
@@ -27,28 +27,31 @@
     WakeMe, Withdrawn,
 )  # fmt: skip
 
-P = 10  # bits: 256 segments, a few dozen a server
-KEY_BITS = 0  # bits of P from the key where groups share work: a group spans 2 segments
-DEPTH = 4  # servers of a segment's order it may spill over: more scatter groups that share work
-JAMMED = 0.5  # share of servers: beyond it flows spill over one server only
-R = 0.8  # ratio: the paper's value
+P = 10  # bits: 1024 segments, so that few groups share one; 8 mixed them, 12 gave no more
+KEY_BITS = 0  # bits of P from the key where groups share work: a group is one segment, paid for once
+R = 0.8  # ratio: the paper's value; 0.6 to 0.9 measured alike
 FEW = 4  # connections: under this the busiest server is left alone, chance rules such counts
+DEPTH = 4  # servers of a segment's order it may spill over: more scatter groups that share work
+JAMMED_DEPTH = 2  # the same while much of the fleet is jammed
+JAMMED = 0.75  # share of servers: what much of the fleet means; at 0.5 mixed days lose
 TICK = 1_000.0  # ms: upkeep and probes; as often as servers speak of slow messages
 CHECK = 5  # ticks: the design's 5 s between checks
 NEW_FOR = 10_000.0  # ms: a new server counts at the mean for so long, its count says nothing yet
 ASIDE = 4_000.0  # ms: most of the list's lateness about a dead server, and again half as random part
 BAD = 0.45  # share: two failed connects in a row, or one that found nobody
 OVERDRIVEN = 0.95  # load over capacity: above it messages start to queue
-CALM = 0.7  # load over capacity: under it a jammed server counts as well again at once
+CALM = 0.7  # load over capacity: under it, with room left over, a jammed server counts as well again
+TARGET = 0.8  # load over capacity to get an overdriven server down to; what is piled up must drain
 HOT_FOR = 2_500.0  # ms: two and a half of the notes that come once a second
 PATIENCE = 2.0  # setup targets: how long one connect may take while others could follow
 MOVE_EVERY = 2_000.0  # ms: until a probe can show what the last moves did
-TARGET = 0.8  # load over capacity to get an overdriven server down to; what is piled up must drain
-MOVE_SHARE = 0.15  # share of own connections that leave an overdriven server in a tick
+MOVE_SHARE = 0.15  # share of own connections that leave at a time where no probe tells the load
 PACE = 1.5  # times the fair share of first arrivals that a jammed server gets while it recovers
 DOUBLING = 4_000.0  # ms without a sign of trouble after which that pace doubles
 RECOVERY = 12_000.0  # ms without a sign of trouble until a jammed server counts as well
 RATE_GAIN = 0.1  # share: arrivals are averaged over about ten ticks
+BACK_OFF = 500.0  # ms: first wait after a refused call to the list; doubles up to half of ask_every
+ADVICE = 1_000.0  # ms: a turned-away client stays away about as long as a tick, then news is in
 
 
 class _Host:
@@ -119,7 +122,7 @@
             self.subscribed = False
             self.refusals += 1
             self.ask_at = self.now + self.chance.uniform(0.2, 1.0) * min(self.vip.ask_every / 2,
-                                                                       500.0 * 2**self.refusals)
+                                                                       BACK_OFF * 2**self.refusals)
             return
         if not self.ticks:
             self.ticks = 1
@@ -274,7 +277,7 @@
         kind = self.vip.service_types[held.flow.service_type]
         known = kind.kind == REFERENCED and kind.group == "all"
         if held.ran is None or kind.kind == REPEATABLE or known:
-            self.out.append(Reject(held.flow.id, min(self.vip.max_retry_after, 1_000.0)))
+            self.out.append(Reject(held.flow.id, min(self.vip.max_retry_after, ADVICE)))
         else:
             self.out.append(Abort(held.flow.id))
         self._finish(held)
@@ -309,8 +312,6 @@
         if held is None:
             return
         host = held.host
-        if event.result == TIMEOUT and host is not None:
-            self._weaken(host)
         if host is not None:
             self._judge(host, held, event.result)
             host.open.pop(event.id, None)
@@ -338,6 +339,8 @@
             # Silent death shows in connects long before the list tells of it.
             self._blame(host, 0.6)
         elif result in (ERROR, TIMEOUT) or (result == RESET and not held.up):
+            if result == TIMEOUT:
+                self._weaken(host)
             self._blame(host, 0.3)
         elif result == RESET:
             # Many connections cut at once: the process is gone. One cut now and then: it sheds load.
@@ -430,7 +433,7 @@
         ready = [h for h in self.hosts.values() if h.state == READY]
         # Where much of the fleet is jammed, scattered groups cost more than the spill relieves.
         jammed = sum(h.weak > self.now for h in ready)
-        self.depth = DEPTH if jammed <= JAMMED * len(ready) else 2
+        self.depth = DEPTH if jammed <= JAMMED * len(ready) else JAMMED_DEPTH
         if self.vip.probes:
             self.out.extend(Probe(host.id) for host in ready)
         for host in ready:
