--- a/lotusroute/adapter/__main__.py
+++ b/lotusroute/adapter/__main__.py
@@ -5,8 +5,8 @@
 
 from lotusroute import interface
 from lotusroute.adapter import wire
-from lotusroute.adapter.wire import Malformed
 from lotusroute.choice import Director
+from lotusroute.vip import Malformed, number, one_of
 
 
 class Host:
@@ -34,7 +34,7 @@
         elif name == "mark":
             if self.now is not None or len(values) != 1:
                 raise Malformed("a mark stands at the start of a batch, with the clock")
-            self.now, self.reply, self.speaking, self.at = wire.number(values[0]), [], None, None
+            self.now, self.reply, self.speaking, self.at = number(values[0]), [], None, None
         elif self.now is None:
             raise Malformed(f"'{name}' outside of a batch")
         elif name == "your_turn":
@@ -95,10 +95,10 @@
     def _registry(self, values: list[str]) -> interface.ServerList:
         if len(values) != 3:
             raise Malformed(f"registry has 3 values, not {len(values)}")
-        scope = wire.one_of(wire.SCOPES, values[2], "scope")
+        scope = one_of(wire.SCOPES, values[2], "scope")
         if scope == interface.REFUSED:
             return interface.ServerList(scope)
-        return interface.ServerList(scope, wire.one_of(self.rosters, wire.integer(values[0]), "roster"))
+        return interface.ServerList(scope, one_of(self.rosters, wire.integer(values[0]), "roster"))
 
 
 def replies(lines: Iterable[str]) -> Iterator[str]:
--- a/lotusroute/adapter/wire.py
+++ b/lotusroute/adapter/wire.py
@@ -2,11 +2,11 @@
 
 import base64
 import binascii
-import math
 
 from lotusroute import interface as i
+from lotusroute.vip import Malformed, number, one_of
+from lotusroute.vip import vip as decode_vip
 
-KINDS = {"read_like": i.REPEATABLE, "idempotency_key": i.REFERENCED, "non_idempotent": i.ONCE_ONLY}
 STATES = {"IN": i.READY, "LAME": i.DRAINING, "OUT": i.GONE}
 SCOPES = {"changes": i.CHANGES, "all": i.WHOLE, "remembered": i.REMEMBERED, "refused": i.REFUSED}
 RESULTS = {
@@ -17,27 +17,6 @@
 LOAD_CHANGED, MESSAGES_SLOW = 1, 2
 
 
-class Malformed(Exception):
-    """A line that does not belong on the wire; the text says why."""
-
-
-def number(text: str) -> float:
-    """Read a finite number; `-` is 0.
-
-    >>> number("8652.25"), number("-")
-    (8652.25, 0.0)
-    """
-    if text == "-":
-        return 0.0
-    try:
-        value = float(text)
-    except ValueError:
-        value = math.nan
-    if not math.isfinite(value):
-        raise Malformed(f"'{text}' is not a number")
-    return value
-
-
 def integer(text: str) -> int:
     """Read a whole number of 0 or more."""
     if not (text.isascii() and text.isdigit()):
@@ -52,14 +31,6 @@
     return text == "1"
 
 
-def one_of(table: dict, text: str, what: str):
-    """Translate a word of the wire by a table."""
-    try:
-        return table[text]
-    except KeyError:
-        raise Malformed(f"unknown {what} '{text}'") from None
-
-
 def text_or_none(text: str) -> str | None:
     """Read a text that may be absent."""
     return None if text == "-" else text
@@ -80,7 +51,7 @@
 
 
 def vip(parts: list[str]) -> i.Vip:
-    """Decode the settings of an instance; unknown ones are passed over."""
+    """Decode the settings of an instance."""
     env: dict[str, str] = {}
     for part in parts:
         path, equals, value = part.partition("=")
@@ -88,41 +59,7 @@
             raise Malformed(f"'{part}' is not a setting")
         if value not in ("null", "-"):
             env[path] = value
-
-    def get(path: str, default: float = 0.0) -> float:
-        return number(env[path]) if path in env else default
-
-    def flag(path: str) -> bool:
-        return env.get(path) == "true"
-
-    service_types = {}
-    for at in range(int(get("service_types.count"))):
-        path = f"service_types.{at}."
-        service_types[env.get(path + "name", "")] = i.ServiceType(
-            setup_target=get(path + "setup_target"),
-            kind=one_of(KINDS, env.get(path + "effect", "read_like"), "effect"),
-            group=env.get(path + "group", "all"),
-            window=get(path + "window"),
-        )
-    return i.Vip(
-        service_types=service_types,
-        me=int(get("me")),
-        siblings=max(1, int(get("siblings", 1))),
-        shares_work=flag("family_info.groups"),
-        sizes_hold=env.get("weights", "silent") in ("nominal", "rough"),
-        asks=flag("limits.probes") and env.get("report.source", "silent") != "silent",
-        probes=flag("limits.probes") and env.get("report.source", "silent") != "silent",
-        probe_price=get("deductions.probe"),
-        peer_price=get("deductions.peer"),
-        peers=flag("limits.peers"),
-        must_ask=env.get("discovery") == "ask",
-        ask_every=get("rules.ask_every", 10_000.0),
-        max_connects=max(1, int(get("limits.max_connects", 1))),
-        max_retry_after=get("limits.max_retry_after") if flag("limits.retry_after") else 0.0,
-        cold_from=get("rules.cold_from", 1.0),
-        warm_after=get("rules.warm_after"),
-        tip_multiple=get("rules.tip_multiple", 1.0),
-    )
+    return decode_vip(env)
 
 
 def row(parts: list[str]) -> i.Server:
--- /dev/null
+++ b/lotusroute/net/discovery.py
@@ -0,0 +1,117 @@
+"""The server list.
+
+Owns the calls to discovery: the whole list once, then one watch after the other, without a gap, and the
+back-off when it fails or is silent. It must never decide what a list means for a flow, hold the start up,
+or act on an answer that is not a list.
+"""
+
+import json
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+from twisted.internet import defer, reactor, task
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+
+from lotusroute import interface as i
+from lotusroute.net.log import say
+from lotusroute.net.startup import address
+from lotusroute.vip import Malformed, number, one_of
+
+STATES = {"SERVING": i.READY, "DRAINING": i.DRAINING, "DELETED": i.GONE}
+HOLD = 4_000  # ms that a watch waits: so long a call may hang unnoticed when the agent falls silent
+PATIENCE = 1.5  # s beyond the wait for an answer from the own machine
+FIRST_PAUSE = 0.1  # s after a failed call: under the 200 ms in which a watch goes on
+LONGEST_PAUSE = 2.0  # s: a list has to be known within seconds of being there
+CALL, ANSWER, BODY = "no answer", "an answer in part", "an answer that is no list"
+
+
+class Listed(NamedTuple):
+    """What discovery told: a list or changes to it, with where each server is dialled."""
+
+    scope: str
+    servers: tuple[i.Server, ...]
+    dials: dict[str, tuple[str, int]]
+
+
+class Failed(NamedTuple):
+    """A call that brought nothing, and how far it had come."""
+
+    reached: str
+    why: str
+
+
+def listed(told: dict, scope: str) -> Listed:
+    """Decode a list in discovery's form. Its clock is Unix time in ms, and so is the owner's.
+
+    >>> told = {"hosts": [{"host": "s-1", "dial": "10.1.0.18:9000", "health": "SERVING", "born_ms": 0}]}
+    >>> listed(told, i.WHOLE).dials
+    {'s-1': ('10.1.0.18', 9000)}
+    """
+    servers, dials = [], {}
+    for entry in told["hosts"]:
+        state = one_of(STATES, entry["health"], "health")
+        server = str(entry["host"])
+        if state != i.GONE:
+            dials[server] = address(entry["dial"])
+        servers.append(i.Server(
+            server, str(entry.get("site", "")), int(entry.get("block") or 0), state,
+            number(str(entry.get("share", 1.0))), number(str(entry.get("born_ms") or 0)),
+        ))  # fmt: skip
+    return Listed(scope, tuple(servers), dials)
+
+
+class Discovery:
+    """Follows the server list and puts what it learns into the owner's queue."""
+
+    def __init__(self, where: tuple[str, int], seed: int, put: Callable, counts) -> None:
+        self.base = f"http://{where[0]}:{where[1]}/api/targets"
+        self.put, self.counts = put, counts
+        self.chance = random.Random(seed)
+        self.agent = Agent(reactor, connectTimeout=PATIENCE, pool=HTTPConnectionPool(reactor))
+        self.seq: int | None = None  # None: the whole list is needed
+
+    async def follow(self) -> None:
+        """Go on for as long as the balancer runs."""
+        pause = FIRST_PAUSE
+        while True:
+            news = await self._call()
+            if isinstance(news, Listed):
+                pause = FIRST_PAUSE
+                if news.servers or news.scope == i.WHOLE:
+                    self.put(news)
+                continue
+            self.counts["discovery_failed"] += 1
+            if pause == FIRST_PAUSE:
+                say("discovery failed", reached=news.reached, why=news.why)
+            await task.deferLater(reactor, pause * self.chance.uniform(0.5, 1.0), lambda: None)
+            pause = min(2 * pause, LONGEST_PAUSE)
+
+    async def _call(self) -> Listed | Failed:
+        """Ask once; whatever goes wrong comes back as a value."""
+        url, wait = self.base, PATIENCE
+        if self.seq is not None:
+            url, wait = f"{url}?from={self.seq}&hold_ms={HOLD}", PATIENCE + HOLD / 1000
+        reached = CALL
+        self.counts["discovery_calls"] += 1
+        try:
+            answer = await _within(self.agent.request(b"GET", url.encode()), wait)
+            reached = ANSWER
+            body = await _within(readBody(answer), PATIENCE)
+            reached = BODY
+            if answer.code != 200:
+                self.seq = None
+                return Failed(reached, f"status {answer.code}")
+            told = json.loads(body)
+            news = listed(told, i.WHOLE if told["whole"] else i.CHANGES)
+            self.seq = int(told["seq"])
+            return news
+        except (KeyError, TypeError, ValueError, AttributeError, Malformed) as fault:
+            self.seq = None
+            return Failed(reached, f"{type(fault).__name__}: {fault}")
+        except Exception as fault:  # the HTTP client has dozens, and none may stop the following
+            return Failed(reached, f"{type(fault).__name__}: {fault}"[:200])
+
+
+def _within(deferred: defer.Deferred, seconds: float) -> defer.Deferred:
+    return deferred.addTimeout(seconds, reactor)
--- /dev/null
+++ b/lotusroute/net/lines.py
@@ -0,0 +1,118 @@
+"""Lines over TCP, for both sides.
+
+Owns the reading of whole lines out of what a socket brought, as slices of the buffer that they were
+read into, and the words of the protocol. It must never copy a whole line to hand it on, let a line grow
+beyond its limit, or know whose connection it reads.
+"""
+
+from twisted.internet import error
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.protocols.basic import LineReceiver
+from twisted.protocols.policies import TimeoutMixin
+from zope.interface import implementer
+
+from lotusroute.net.log import fault
+
+LINE = 4096  # bytes of a line with its ending, by the protocol
+HELD = 65_536  # bytes that come while lines are held; more, and reading stops until they are let go
+
+PING, PONG, STATS, OPEN, UP, BUSY, MOVE, BYE, ERR, LOAD = (
+    b"PING", b"PONG", b"STATS", b"OPEN", b"UP", b"BUSY", b"MOVE", b"BYE", b"ERR", b"LOAD",
+)  # fmt: skip
+END = b"\r\n"
+
+
+def word(line: memoryview) -> bytes:
+    """Return the first word of a line.
+
+    >>> word(memoryview(b"BUSY 250" + END)), word(memoryview(b"PING" + END))
+    (b'BUSY', b'PING')
+    """
+    return bytes(line[:12]).split(b" ", 1)[0].split(END, 1)[0]
+
+
+@implementer(IHalfCloseableProtocol)
+class SliceReceiver(LineReceiver, TimeoutMixin):
+    """A LineReceiver whose `lineReceived` gets slices, each with its ending, ready to be passed on."""
+
+    MAX_LENGTH = LINE
+    held = False  # lines wait while this is set, though the socket is still read
+    ended = False  # the other end has stopped sending
+    closing = False  # this end has
+
+    def connectionMade(self) -> None:
+        self.transport.setTcpNoDelay(True)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Hand on the whole lines of `data`; what is left of it is copied, for it must outlive its buffer."""
+        if self._busyReceiving:
+            self._buffer += data
+            return
+        if self._buffer:
+            data, self._buffer = self._buffer + data, b""
+        self._busyReceiving = True
+        at = 0
+        view = memoryview(data)
+        try:
+            while not (self.held or self.paused or self.transport.disconnecting):
+                end = data.find(END, at, at + LINE)
+                if end < 0:
+                    break
+                at, start = end + len(END), at
+                self.lineReceived(view[start:at])
+        except Exception:
+            # Whatever a line set off ends with its connection, not with the balancer.
+            fault("connection failed", kind=type(self).__name__)
+            self.transport.abortConnection()
+            return
+        finally:
+            self._busyReceiving = False
+            if at < len(data):
+                self._buffer = data[at:] + self._buffer
+        if self.held or self.paused:
+            if len(self._buffer) > HELD:
+                self.transport.pauseProducing()
+        elif len(self._buffer) >= LINE and not self.transport.disconnecting:
+            self.lineLengthExceeded(self._buffer)
+
+    def send(self, line: memoryview) -> None:
+        """Write a slice. Twisted's transports take nothing but bytes and keep them until written, so this is
+        where a line is copied, unless it is all that its buffer holds, as nearly always."""
+        self.transport.write(line.obj if len(line) == len(line.obj) else bytes(line))
+
+    def release(self) -> None:
+        """Let go the lines held back."""
+        self.held = False
+        if not self.ended:
+            self.transport.resumeProducing()
+        self.dataReceived(b"")
+
+    def readConnectionLost(self) -> None:
+        self.ended = True
+        self.otherEnded()
+        if self.closing:
+            self.transport.loseConnection()
+
+    def writeConnectionLost(self) -> None:
+        if self.ended:
+            self.transport.loseConnection()
+
+    def halfClose(self) -> None:
+        """Stop sending, once all is written; the rest closes when the other end has stopped too."""
+        if not self.closing and self.transport is not None:
+            self.closing = True
+            self.transport.unregisterProducer()
+            self.transport.loseWriteConnection()
+
+    def connectionLost(self, reason) -> None:
+        self.setTimeout(None)
+        self.lost(bool(reason.check(error.ConnectionDone)))
+
+    def timeoutConnection(self) -> None:
+        self.transport.abortConnection()
+
+    def otherEnded(self) -> None:
+        """Called when the other end has stopped sending."""
+
+    def lost(self, clean: bool) -> None:
+        """Called when the connection is gone."""
--- /dev/null
+++ b/lotusroute/net/owner.py
@@ -0,0 +1,452 @@
+"""The one owner of the decisions.
+
+Owns the Director, its clock and timers, and the state of every flow: its connect, its deadline, whether it
+is answered. Sockets only put events into its queue; it alone calls `decide` and hands out the actions. It
+must never read or write a socket itself, nor decide where a flow goes.
+"""
+
+import math
+import time
+from collections import deque
+from statistics import median
+from typing import NamedTuple
+
+from twisted.internet import reactor
+
+from lotusroute import interface as i
+from lotusroute.choice import Director
+from lotusroute.net.clients import Asked, ClientSide, Left, Opening
+from lotusroute.net.discovery import Listed
+from lotusroute.net.lines import BUSY, ERR
+from lotusroute.net.log import LOG, fault, say
+from lotusroute.net.servers import Answered, Attempt, Fell, Loaded, Prober, Reported, Timed
+from lotusroute.net.startup import Posting
+
+MARGIN = 40.0  # ms before a client's deadline by which it is answered: what a busy core may hold us up
+MARGIN_SHARE = 0.25  # of a short wait, which must leave time to serve
+LOOK = 1_000.0  # ms between looks at open connections; servers are judged slow by the second
+SILENT = 4_500.0  # ms without a line though one waits: gone, and well before the 7 s that clients bear
+GOING = 2_000.0  # ms for a server to end a connection that its client has left
+RESERVE = 160  # descriptors kept from flows: discovery, probes, log, and newcomers who are told BUSY
+QUEUE = 4096  # events that may wait before newcomers are refused unseen: some 100 ms of work
+AGAIN = 1_000.0  # ms before a standing connection that found no server is tried again; doubles
+FULL_ADVICE = 1_000.0  # ms for a newcomer who finds no descriptor left: connections end by the second
+STOP_MOVES = 450.0  # ms after the order to stop: until then the front sends newcomers, moved ones too
+STOP_SPREAD = 1_300.0  # ms over which clients are moved then, so that the others see no crowd
+STOP_STEP = 50.0  # ms between groups of them
+STOP_LONGEST = 3_000.0  # ms: the longest deadline that is waited for before the kill
+STOP_REST = 350.0  # ms of the 700 beyond it after which nothing more may be in hand
+STOP_ADVICE = 400.0  # ms after which a newcomer meets the others: the front has heard by then
+
+
+class Overdue(NamedTuple):
+    """A connect's time is up."""
+
+    number: int
+    attempt: Attempt
+
+
+class Again(NamedTuple):
+    """A standing connection is to be tried once more."""
+
+    number: int
+
+
+class Gone(NamedTuple):
+    """A server has had its time to end a connection whose client has left."""
+
+    number: int
+
+
+class Look(NamedTuple):
+    """It is time to look at the open connections."""
+
+
+class Step(NamedTuple):
+    """The own end goes on."""
+
+
+class _Held:
+    """A flow in hand."""
+
+    __slots__ = ("number", "opening", "due", "client", "attempt", "timer", "up", "left", "tries")
+
+    def __init__(self, number: int, opening: Opening, due: float, client: ClientSide) -> None:
+        self.number, self.opening, self.due, self.client = number, opening, due, client
+        self.attempt: Attempt | None = None  # the connect in flight, or the connection; one at a time
+        self.timer = None
+        self.up, self.left, self.tries = False, 0.0, 0
+
+
+class Owner:
+    """The task that owns the Director."""
+
+    def __init__(self, posting: Posting, counts) -> None:
+        self.posting, self.counts = posting, counts
+        self.director = Director(posting.vip, posting.seed)
+        # Unix time, as servers' starts are told in it and balancers take turns by it, but steady.
+        self.epoch = time.time() * 1000 - time.monotonic() * 1000
+        self.queue: deque = deque()  # bounded: newcomers are refused beyond QUEUE, others are few a flow
+        self.running = False
+        self.flows: dict[int, _Held] = {}  # in hand; each leaves with its answer or its connection's end
+        self.next = 0
+        self.dials: dict[str, tuple[str, int]] = {}  # leave with their server
+        self.probers: dict[str, Prober] = {}  # leave with their server
+        self.delays: dict[str, list[float]] = {}  # answers timed since the last look, which empties it
+        self.slow: set[str] = set()  # servers noted as slow; leave when noted as well again, or gone
+        self.room = max(1, (posting.sockets - RESERVE) // 2)
+        self.stopping = 0.0
+        self.stopped = None  # called when all are gone
+        self._later(LOOK, Look())
+
+    def clock(self) -> float:
+        """Milliseconds of Unix time, never going back."""
+        return self.epoch + time.monotonic() * 1000
+
+    def ready(self) -> bool:
+        """Whether flows can be taken."""
+        return bool(self.dials) and not self.stopping
+
+    # The queue
+
+    def put(self, event: object) -> None:
+        """Take an event; this is the only way in."""
+        self.queue.append(event)
+        if not self.running:
+            self.running = True
+            reactor.callLater(0, self._run)
+
+    def _run(self) -> None:
+        while self.queue:
+            event = self.queue.popleft()
+            try:
+                self._on[type(event)](self, event)
+            except Exception:
+                # A fault over one event must not take the others with it.
+                self.counts["faults"] += 1
+                fault("event failed", kind=type(event).__name__)
+                self._forget(getattr(event, "number", 0))
+        self.running = False
+
+    def _forget(self, number: int) -> None:
+        """Answer a flow over which something broke, so that it is not lost."""
+        held = self.flows.pop(number, None)
+        if held is not None:
+            self._hang_up(held)
+            if held.up:
+                held.client.move()
+            else:
+                held.client.answer(ERR)
+
+    def _later(self, ms: float, event: object):
+        return reactor.callLater(max(0.0, ms) / 1000, self.put, event)
+
+    def _decide(self, event: i.Event) -> None:
+        for action in self.director.decide(self.clock(), event):
+            self._do[type(action)](self, action)
+
+    # What comes in
+
+    def _asked(self, event: Asked) -> None:
+        opening, side = event.opening, event.side
+        if opening.service_type not in self.posting.vip.service_types:
+            self.counts["malformed_lines"] += 1
+            side.answer(ERR)
+        elif self.stopping:
+            self._turn_away(side, STOP_ADVICE)
+        elif not opening.at and (len(self.flows) >= self.room or len(self.queue) > QUEUE):
+            self._turn_away(side, FULL_ADVICE)
+        else:
+            self.next += 1
+            due = event.at + opening.wait - min(MARGIN, MARGIN_SHARE * opening.wait)
+            held = self.flows[self.next] = _Held(self.next, opening, due, side)
+            side.number = held.number
+            if opening.at:
+                self._stand(held)
+            else:
+                self._decide(self._flow(held))
+
+    def _flow(self, held: _Held) -> i.Flow:
+        o = held.opening
+        return i.Flow(held.number, o.service_type, o.tenant, o.group, o.key, held.due, returned=o.returned)
+
+    def _turn_away(self, side: ClientSide, advice: float) -> None:
+        self.counts["turned_away"] += 1
+        advice = min(advice, self.posting.vip.max_retry_after)
+        side.answer(b"%b %d" % (BUSY, advice) if advice >= 1 else BUSY)
+
+    def _stand(self, held: _Held) -> None:
+        """A connection that stood before we started goes to its server, undecided."""
+        if held.opening.at not in self.dials:
+            held.attempt = None
+            self._stand_again(held)
+            return
+        self._begin(held, held.opening.at, held.due)
+
+    def _stand_again(self, held: _Held) -> None:
+        held.tries += 1
+        wait = AGAIN * 2 ** (held.tries - 1)
+        if held.tries >= self.posting.vip.max_connects or self.clock() + wait >= held.due:
+            self.counts["standing_lost"] += 1
+            self._answer(held, ERR)
+        else:
+            self._later(wait, Again(held.number))
+
+    def _again(self, event: Again) -> None:
+        held = self.flows.get(event.number)
+        if held is not None and not held.up:
+            self._stand(held)
+
+    def _begin(self, held: _Held, server: str, until: float) -> None:
+        now = self.clock()
+        wait = until - now
+        attempt = held.attempt = Attempt(
+            held.number, server, held.opening.rewritten(wait), self.put, self.clock, self.counts
+        )
+        limit = self.posting.connect_timeout
+        attempt.start(self.dials[server], min(limit, wait), wait < limit)
+        held.timer = self._later(wait, Overdue(held.number, attempt))
+        self.counts["connects"] += 1
+        if LOG.isEnabledFor(10):
+            say("connect", 10, flow=held.number, server=server, wait=wait)
+
+    def _answered(self, event: Answered) -> None:
+        held = self.flows.get(event.number)
+        if held is None or held.attempt is not event.attempt:
+            self.counts["late_answers"] += 1
+            event.attempt.abandon()
+            return
+        self._quiet(held)
+        held.up = True
+        self.counts["established"] += 1
+        server = event.attempt.server
+        held.client.join(event.attempt, event.receipt)
+        if held.opening.at:
+            self._decide(i.AlreadyOpen(self._flow(held), server))
+        else:
+            self._decide(i.Established(held.number, server))
+
+    def _fell(self, event: Fell) -> None:
+        held = self.flows.get(event.number)
+        if held is None or held.attempt is not event.attempt:
+            return
+        self._ended(held, event.result)
+
+    def _overdue(self, event: Overdue) -> None:
+        held = self.flows.get(event.number)
+        if held is not None and held.attempt is event.attempt and not held.up:
+            self._ended(held, event.attempt.abandon())
+
+    def _ended(self, held: _Held, result: str) -> None:
+        """A connect, or the connection that came of it, is over."""
+        self._quiet(held)
+        server, held.attempt = held.attempt.server, None
+        self.counts[f"ended_{result}"] += 1
+        if LOG.isEnabledFor(10):
+            say("ended", 10, flow=held.number, server=server, result=result, up=held.up)
+        if held.up:
+            del self.flows[held.number]
+            self._decide(i.Ended(held.number, server, True, result))
+        elif held.opening.at:
+            if result in i.NEVER_RAN:
+                self._stand_again(held)
+            else:
+                self.counts["standing_lost"] += 1
+                self._answer(held, ERR)
+        else:
+            self._decide(i.Ended(held.number, server, False, result))
+            if held.attempt is None and held.number in self.flows:
+                raise RuntimeError("flow left without a connect or an answer")
+
+    def _left(self, event: Left) -> None:
+        held = self.flows.get(event.number)
+        if held is None:
+            return
+        if held.up:
+            # Its server ends it now, or has ended it; one that is gone never will.
+            if not held.left:
+                held.left = self.clock()
+                held.timer = self._later(GOING, Gone(held.number))
+            return
+        self.counts["withdrawn"] += 1
+        del self.flows[held.number]
+        self._hang_up(held)
+        held.client.answer(ERR)
+        if not held.opening.at:
+            self._decide(i.Withdrawn(held.number))
+
+    def _gone(self, event: Gone) -> None:
+        held = self.flows.get(event.number)
+        if held is not None:
+            held.attempt.abandon()
+            self._ended(held, i.CANCELLED)
+
+    def _loaded(self, event: Loaded) -> None:
+        if event.number in self.flows:
+            self._decide(i.LoadNoted(event.number, event.load))
+
+    def _timed(self, event: Timed) -> None:
+        self.delays.setdefault(event.server, []).append(event.delay)
+
+    def _reported(self, event: Reported) -> None:
+        self._decide(i.Probed(event.server, event.ok, event.loads))
+
+    def _listed(self, event: Listed) -> None:
+        self.counts["lists"] += 1
+        if event.scope != i.CHANGES:
+            self.dials.clear()
+        for server in event.servers:
+            if server.state == i.GONE:
+                self.dials.pop(server.id, None)
+        self.dials.update(event.dials)
+        for server in [s for s in self.probers if s not in self.dials]:
+            self.probers.pop(server).close()
+        self.slow &= self.dials.keys()
+        if LOG.isEnabledFor(10):
+            for server in event.servers:
+                say("listed", 10, scope=event.scope, server=server.id, state=server.state, at=server.started)
+        self._decide(i.ServerList(event.scope, event.servers))
+
+    # The look at open connections
+
+    def _look(self, _: Look) -> None:
+        """Note slow servers, as the decisions expect it: once a second while it lasts, and once after."""
+        self._later(LOOK, Look())
+        now, silent = self.clock(), []
+        for held in self.flows.values():
+            if not held.up or held.attempt is None:
+                continue
+            waited = held.attempt.waited(now)
+            if waited >= self.director.slow:
+                self.delays.setdefault(held.attempt.server, []).append(waited)
+            if held.attempt.silent(now) >= SILENT:
+                silent.append(held)
+        for server, delays in self.delays.items():
+            delay = median(delays)
+            if delay >= self.director.slow:
+                self.slow.add(server)
+            elif server in self.slow:
+                self.slow.discard(server)
+            else:
+                continue
+            self.counts["slow_notes"] += 1
+            say("server slow", 10, server=server, delay=delay, of=len(delays))
+            self._decide(i.DelayNoted(server, delay))
+        self.delays = {}
+        for held in silent:
+            # A machine that vanished says nothing, and TCP does not notice.
+            self.counts["silent"] += 1
+            held.attempt.abandon()
+            held.client.move()
+            self._ended(held, i.RESET)
+
+    # What is to be done
+
+    def _connect(self, action: i.Connect) -> None:
+        held = self.flows.get(action.id)
+        if held is None or held.up or held.attempt is not None:
+            return
+        if action.server not in self.dials:
+            raise RuntimeError(f"no address of {action.server}")
+        within = action.within or math.inf
+        self._begin(held, action.server, min(held.due, self.clock() + within))
+
+    def _reject(self, action: i.Reject) -> None:
+        held = self.flows.get(action.id)
+        if held is not None and not held.up:
+            self.counts["rejected"] += 1
+            advice = round(action.retry_after)
+            self._answer(held, b"%b %d" % (BUSY, advice) if advice > 0 else BUSY)
+
+    def _abort(self, action: i.Abort) -> None:
+        held = self.flows.get(action.id)
+        if held is not None and not held.up:
+            self.counts["aborted"] += 1
+            self._answer(held, ERR)
+
+    def _move(self, action: i.Move) -> None:
+        held = self.flows.get(action.id)
+        if held is not None and held.up and not held.left:
+            self.counts["moved"] += 1
+            held.client.move()
+            held.attempt.leave()
+            self._ended(held, i.CANCELLED)
+
+    def _wake_me(self, action: i.WakeMe) -> None:
+        self._later(action.delay, i.Wake(action.mark))
+
+    def _probe(self, action: i.Probe) -> None:
+        if action.server in self.dials:
+            prober = self.probers.get(action.server)
+            if prober is None or prober.address != self.dials[action.server]:
+                prober = Prober(action.server, self.dials[action.server], self.put)
+                self.probers[action.server] = prober
+            self.counts["probes"] += 1
+            prober.probe()
+
+    def _say(self, action: i.Say) -> None:
+        say(action.line)
+
+    def _nothing(self, action: i.Action) -> None:
+        """Discovery watches by itself, and there are no messages between balancers."""
+
+    def _answer(self, held: _Held, words: bytes) -> None:
+        del self.flows[held.number]
+        self._hang_up(held)
+        held.client.answer(words)
+        if LOG.isEnabledFor(10):
+            say("answered", 10, flow=held.number, words=words.decode())
+
+    def _quiet(self, held: _Held) -> None:
+        if held.timer is not None and held.timer.active():
+            held.timer.cancel()
+        held.timer = None
+
+    def _hang_up(self, held: _Held) -> None:
+        self._quiet(held)
+        if held.attempt is not None:
+            held.attempt.abandon()
+
+    # The own end
+
+    def stop(self, stopped) -> None:
+        """Finish what is in hand and send all clients away; call `stopped` when they are gone."""
+        if not self.stopping:
+            self.stopping, self.stopped = self.clock(), stopped
+            say("stopping", flows=len(self.flows))
+            self._later(STOP_STEP, Step())
+
+    def _step(self, _: Step) -> None:
+        gone = self.clock() - self.stopping
+        last = min(self.posting.longest, STOP_LONGEST) + STOP_REST
+        up = [held for held in self.flows.values() if held.up and not held.left]
+        if gone >= STOP_MOVES:
+            steps = max(1.0, (STOP_MOVES + STOP_SPREAD - gone) / STOP_STEP)
+            for held in up[: math.ceil(len(up) / steps)]:
+                self._move(i.Move(held.number))
+        if gone >= last:
+            for held in list(self.flows.values()):
+                self._cut(held)
+        if gone >= last or (gone >= STOP_MOVES + STOP_STEP and not self.flows):
+            self.stopped()
+        else:
+            self._later(STOP_STEP, Step())
+
+    def _cut(self, held: _Held) -> None:
+        if held.up:
+            return
+        ran = held.attempt is not None and held.attempt.abandon() == i.TIMEOUT
+        kind = self.posting.vip.service_types[held.opening.service_type].kind
+        self._answer(held, ERR if ran and kind != i.REPEATABLE else BUSY)
+
+    _on = {
+        Asked: _asked, Answered: _answered, Fell: _fell, Overdue: _overdue, Left: _left, Loaded: _loaded,
+        Timed: _timed, Reported: _reported, Listed: _listed, Again: _again, Gone: _gone, Look: _look,
+        Step: _step,
+        i.Wake: lambda self, event: self._decide(event),
+    }  # fmt: skip
+    _do = {
+        i.Connect: _connect, i.Reject: _reject, i.Abort: _abort, i.Move: _move, i.WakeMe: _wake_me,
+        i.Probe: _probe, i.Say: _say, i.Subscribe: _nothing, i.Tell: _nothing,
+    }  # fmt: skip
+
--- /dev/null
+++ b/lotusroute/net/servers.py
@@ -0,0 +1,303 @@
+"""The side of the servers.
+
+Owns every connection to a server: one for each connect, one a server for probes, and what a server's
+lines mean. How a connect ended is a value, an `interface` result that says how far it had come; no
+exception leaves this file. It must never choose a server, try again, or speak to a client but to pass on.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from typing import NamedTuple
+
+from twisted.internet import error, reactor
+from twisted.internet.protocol import ClientFactory
+
+from lotusroute import interface as i
+from lotusroute.net.lines import BUSY, BYE, END, LOAD, MOVE, PONG, STATS, UP, SliceReceiver, word
+from lotusroute.vip import Malformed, number
+
+UNANSWERED = 64  # client lines whose answers are timed at once; those of two minutes
+PROBE_TIMEOUT = 500.0  # ms for a probe's answer; later it says nothing of now
+
+# How far a connect has come.
+CONNECTING, WRITING, WRITTEN, STANDING, OVER = range(5)
+
+
+class Answered(NamedTuple):
+    """A server gave its receipt for a flow."""
+
+    number: int
+    attempt: "Attempt"
+    receipt: memoryview
+
+
+class Fell(NamedTuple):
+    """A connect, or the connection that came of it, is over."""
+
+    number: int
+    attempt: "Attempt"
+    result: str
+
+
+class Loaded(NamedTuple):
+    """A server told the load of a connection."""
+
+    number: int
+    load: float
+
+
+class Timed(NamedTuple):
+    """A client's line was answered after so many milliseconds."""
+
+    server: str
+    delay: float
+
+
+class Reported(NamedTuple):
+    """A probe ended."""
+
+    server: str
+    ok: bool
+    loads: dict[str, float]
+
+
+class _Opening:
+    """Pull producer that writes a connect's line and learns when its last byte is written."""
+
+    def __init__(self, side: "ServerSide") -> None:
+        self.side = side
+
+    def resumeProducing(self) -> None:
+        attempt, transport = self.side.attempt, self.side.transport
+        if attempt.reach == CONNECTING:
+            attempt.reach = WRITING
+            transport.write(attempt.line)
+        else:
+            if attempt.reach == WRITING:
+                attempt.reach = WRITTEN
+            transport.unregisterProducer()
+
+    def stopProducing(self) -> None:
+        """The transport is gone; `lost` tells the rest."""
+
+
+class ServerSide(SliceReceiver):
+    """The connection of one connect."""
+
+    def __init__(self, attempt: "Attempt") -> None:
+        self.attempt = attempt
+        self.client = None  # where lines are passed on to, once the connection stands
+        self.asked: deque[float] = deque(maxlen=UNANSWERED)  # when lines went out; each answer takes one
+        self.heard = 0.0
+        self.last = i.RESET  # how the connection ends if it ended now
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self.transport.registerProducer(_Opening(self), streaming=False)
+
+    def lineReceived(self, line: memoryview) -> None:
+        if self.client is None:
+            self._first(line)
+            return
+        self.heard = now = self.attempt.clock()
+        first = word(line)
+        if first == LOAD:
+            self._load(line)
+        elif first in (BYE, MOVE):
+            self.last = i.OK if first == BYE else i.CANCELLED
+        elif self.asked:
+            self.attempt.put(Timed(self.attempt.server, now - self.asked.popleft()))
+        self.client.send(line)
+
+    def _first(self, line: memoryview) -> None:
+        first, attempt = word(line), self.attempt
+        if first == UP and attempt.reach < OVER:
+            # Lines that come with the receipt wait until the client's side takes them.
+            self.held = True
+            attempt.reach = STANDING
+            self.last = i.RESET
+            attempt.put(Answered(attempt.number, attempt, line))
+        else:
+            attempt.fell({BUSY: i.FULL, MOVE: i.CANCELLED}.get(first, i.ERROR))
+            self.transport.abortConnection()
+
+    def _load(self, line: memoryview) -> None:
+        try:
+            self.attempt.put(Loaded(self.attempt.number, number(str(line[len(LOAD):], "ascii").strip())))
+        except (Malformed, UnicodeDecodeError):
+            self.attempt.counts["loads_unread"] += 1
+
+    def pass_on(self, line: memoryview) -> None:
+        """Take a client's line."""
+        self.asked.append(self.attempt.clock())
+        self.send(line)
+
+    def otherEnded(self) -> None:
+        if self.client is not None:
+            # A line without its ending is passed on as it is: nothing more will come.
+            self.client.transport.write(self.clearLineBuffer())
+            self.client.halfClose()
+            self.attempt.fell(self.last)
+        elif self.attempt.reach < STANDING:
+            self.attempt.fell(self.attempt.broken())
+            self.transport.abortConnection()
+
+    def lost(self, clean: bool) -> None:
+        if self.client is not None and not self.ended:
+            self.client.transport.abortConnection()
+        self.attempt.fell(self.last if self.client is not None else self.attempt.broken())
+
+    def lineLengthExceeded(self, line: bytes) -> None:
+        self.attempt.fell(i.ERROR if self.client is None else i.RESET)
+        self.transport.abortConnection()
+
+
+class Attempt(ClientFactory):
+    """One connect of one flow to one server, and the connection that comes of it."""
+
+    noisy = False
+
+    def __init__(self, number: int, server: str, line: bytes, put: Callable, clock: Callable, counts) -> None:
+        self.number, self.server, self.line = number, server, line
+        self.put, self.clock, self.counts = put, clock, counts
+        self.reach = CONNECTING
+        self.side: ServerSide | None = None
+        self.connector = None
+        self.hurried = False  # the time to come up was cut short: a time-out says little of the server
+
+    def start(self, address: tuple[str, int], within: float, hurried: bool) -> None:
+        """Begin; the connection has `within` ms to come up."""
+        self.hurried = hurried
+        self.connector = reactor.connectTCP(*address, self, timeout=max(0.0, within) / 1000)
+
+    def buildProtocol(self, addr) -> ServerSide:
+        self.side = ServerSide(self)
+        return self.side
+
+    def clientConnectionFailed(self, connector, reason) -> None:
+        # Out of descriptors, or out of time: that is not the server's fault.
+        own = reason.check(error.ConnectBindError, error.UserError)
+        hurried = self.hurried and reason.check(error.TimeoutError)
+        self.fell(i.UNSENT if own or hurried else i.UNREACHABLE)
+
+    def broken(self) -> str:
+        """How it ended, if the connection broke now: after the line's last byte it may have run."""
+        return i.RESET if self.reach >= WRITTEN else i.UNREACHABLE
+
+    def fell(self, result: str) -> None:
+        """Report the end, once."""
+        if self.reach < OVER:
+            self.reach = OVER
+            self.put(Fell(self.number, self, result))
+
+    def abandon(self) -> str:
+        """Stop waiting, close at once and return how far it had come; nothing is reported any more."""
+        result = i.TIMEOUT if self.reach >= WRITTEN else i.UNSENT if self.hurried else i.UNREACHABLE
+        self.reach = OVER
+        if self.side is not None and self.side.transport is not None:
+            self.side.client = None
+            self.side.transport.abortConnection()
+        elif self.connector is not None and self.connector.state == "connecting":
+            self.connector.stopConnecting()
+        return result
+
+    def join(self, client) -> None:
+        """Pass lines on to and from `client` from now on."""
+        side = self.side
+        side.client, side.heard = client, self.clock()
+        client.transport.registerProducer(side.transport, streaming=True)
+        side.transport.registerProducer(client.transport, streaming=True)
+        side.release()
+        if side.ended:
+            side.otherEnded()
+
+    def leave(self) -> None:
+        """Close after a polite move; nothing is reported any more."""
+        self.reach = OVER
+        self.side.client = None
+        self.side.transport.unregisterProducer()
+        self.side.transport.loseConnection()
+
+    def waited(self, now: float) -> float:
+        """How long the oldest unanswered line of the client has waited, in ms."""
+        return now - self.side.asked[0] if self.side.asked else 0.0
+
+    def silent(self, now: float) -> float:
+        """For how long the server has brought nothing though a line waits, in ms."""
+        return now - max(self.side.asked[0], self.side.heard) if self.side.asked else 0.0
+
+
+def loads(line: memoryview) -> dict[str, float]:
+    """Read the load report behind the first word of a probe's answer.
+
+    >>> loads(memoryview(b"PONG util:0.5,x0:0.75" + END)), loads(memoryview(b"PONG" + END))
+    ({'util': 0.5, 'x0': 0.75}, {})
+    """
+    found = {}
+    for pair in str(line, "utf-8", "replace").replace(",", " ").split()[1:]:
+        name, _, value = pair.replace("=", ":").partition(":")
+        try:
+            found[name] = number(value)
+        except Malformed:
+            continue
+    return found
+
+
+class ProbeSide(SliceReceiver):
+    """The connection over which one server is probed; it stays open from probe to probe."""
+
+    factory: "Prober"
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self.factory.side = self
+        self.ask()
+
+    def ask(self) -> None:
+        self.setTimeout(PROBE_TIMEOUT / 1000)
+        self.transport.write(STATS + END)
+
+    def lineReceived(self, line: memoryview) -> None:
+        self.setTimeout(None)
+        self.factory.told(word(line) == PONG, loads(line))
+
+    def otherEnded(self) -> None:
+        self.transport.loseConnection()
+
+    def lost(self, clean: bool) -> None:
+        self.factory.side = None
+        self.factory.told(False, {})
+
+
+class Prober(ClientFactory):
+    """Probes one server, one probe at a time."""
+
+    noisy = False
+    protocol = ProbeSide
+
+    def __init__(self, server: str, address: tuple[str, int], put: Callable) -> None:
+        self.server, self.address, self.put = server, address, put
+        self.side: ProbeSide | None = None
+        self.due = False
+
+    def probe(self) -> None:
+        if self.due:
+            return
+        self.due = True
+        if self.side is not None:
+            self.side.ask()
+        else:
+            reactor.connectTCP(*self.address, self, timeout=PROBE_TIMEOUT / 1000)
+
+    def told(self, ok: bool, found: dict[str, float]) -> None:
+        if self.due:
+            self.due = False
+            self.put(Reported(self.server, ok, found))
+
+    def clientConnectionFailed(self, connector, reason) -> None:
+        self.told(False, {})
+
+    def close(self) -> None:
+        self.due = False
+        if self.side is not None:
+            self.side.transport.abortConnection()
--- /dev/null
+++ b/lotusroute/net/startup.py
@@ -0,0 +1,105 @@
+"""What a balancer is told at its start.
+
+Owns the LB_* variables and the file that LB_CONFIG names: the one place where they are read, checked and
+given defaults. It must never open a socket, and nothing else may look at the environment.
+"""
+
+import json
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from lotusroute.interface import Vip
+from lotusroute.vip import Malformed, flatten, number
+from lotusroute.vip import vip as decode_vip
+
+SOCKETS = 1024.0  # descriptors, where no limit is told: what a process usually may hold
+CONNECT_TIMEOUT = 250.0  # ms for a connection to come up, where none is told: a far site and one lost packet
+LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+class Posting(NamedTuple):
+    """Where this balancer stands and what it serves."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    sockets: int
+    known: dict  # the server list as last held, in discovery's form
+    vip: Vip
+    connect_timeout: float  # for a connection to a server to come up
+    longest: float  # connect timeout of the most patient service type
+    log_level: str
+
+
+def address(text: str) -> tuple[str, int]:
+    """Read host:port.
+
+    >>> address("10.0.0.4:9000")
+    ('10.0.0.4', 9000)
+    """
+    host, colon, port = text.rpartition(":")
+    if not (colon and host and port.isascii() and port.isdigit() and 0 < int(port) < 65536):
+        raise Malformed(f"'{text}' is not host:port")
+    return host, int(port)
+
+
+def read(environ: Mapping[str, str]) -> Posting:
+    """Read all that the balancer is told; a key that is missing or bad is named."""
+    path = environ.get("LB_CONFIG")
+    if not path:
+        raise Malformed("LB_CONFIG: not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+    except (OSError, ValueError) as fault:
+        raise Malformed(f"LB_CONFIG: {fault}") from None
+    if not isinstance(told, dict):
+        raise Malformed("LB_CONFIG: not a JSON object")
+    env = dict(flatten(told.get("settings") or {}))
+
+    def text(key: str) -> str:
+        value = environ.get(f"LB_{key.upper()}") or told.get(key)
+        if not isinstance(value, str):
+            raise Malformed(f"LB_{key.upper()}: not set, and no {key} in LB_CONFIG")
+        return value
+
+    def checked(key: str, read, value: object):
+        try:
+            return read(value)
+        except Malformed as fault:
+            raise Malformed(f"{key}: {fault}") from None
+
+    def figure(key: str, value: object, default: float) -> float:
+        value = default if value is None else checked(key, number, str(value))
+        if value <= 0:
+            raise Malformed(f"{key}: {value:g} is not above 0")
+        return value
+
+    vip = checked("settings", decode_vip, env)
+    if not vip.service_types:
+        raise Malformed("settings.service_types: none given")
+    deadlines = (f"service_types.{at}.deadline" for at in range(len(vip.service_types)))
+    known = told.get("known") or {"seq": 0, "hosts": []}
+    if not (isinstance(known, dict) and isinstance(known.get("hosts"), list)):
+        raise Malformed("known: not a server list")
+    limits = told.get("limits") or {}
+    if not isinstance(limits, dict):
+        raise Malformed("limits: not a JSON object")
+    level = environ.get("LB_LOG", "INFO").upper()
+    if level not in LEVELS:
+        raise Malformed(f"LB_LOG: '{level}' is none of {', '.join(LEVELS)}")
+    return Posting(
+        name=text("name"),
+        listen=checked("LB_LISTEN", address, text("listen")),
+        discovery=checked("LB_DISCOVERY", address, text("discovery")),
+        seed=int.from_bytes(str(told.get("seed", "")).encode()),
+        sockets=int(figure("limits.sockets", limits.get("sockets"), SOCKETS)),
+        known=known,
+        # The protocol has no messages between balancers.
+        vip=vip._replace(peers=False),
+        connect_timeout=figure("settings.limits.connect_timeout", env.get("limits.connect_timeout"),
+                               CONNECT_TIMEOUT),
+        longest=max(figure(f"settings.{path}", env.get(path), 1.0) for path in deadlines),
+        log_level=level,
+    )  # fmt: skip
