--- a/lotusroute/net/owner.py
+++ b/lotusroute/net/owner.py
@@ -69,13 +69,14 @@
 class _Held:
     """A flow in hand."""
 
-    __slots__ = ("number", "opening", "due", "client", "attempt", "timer", "up", "left", "tries")
+    __slots__ = ("number", "opening", "due", "client", "attempt", "timer", "up", "left", "tries",
+                 "began")  # fmt: skip
 
     def __init__(self, number: int, opening: Opening, due: float, client: ClientSide) -> None:
         self.number, self.opening, self.due, self.client = number, opening, due, client
         self.attempt: Attempt | None = None  # the connect in flight, or the connection; one at a time
         self.timer = None
-        self.up, self.left, self.tries = False, 0.0, 0
+        self.up, self.left, self.tries, self.began = False, 0.0, 0, 0.0
 
 
 class Owner:
@@ -198,7 +199,7 @@
             self._stand(held)
 
     def _begin(self, held: _Held, server: str, until: float) -> None:
-        now = self.clock()
+        now = held.began = self.clock()
         wait = until - now
         attempt = held.attempt = Attempt(
             held.number, server, held.opening.rewritten(wait), self.put, self.clock, self.counts
@@ -220,6 +221,8 @@
         held.up = True
         self.counts["established"] += 1
         server = event.attempt.server
+        if LOG.isEnabledFor(10):
+            say("up", 10, server=server, flow=held.number, ms=self.clock() - held.began)
         held.client.join(event.attempt, event.receipt)
         if held.opening.at:
             self._decide(i.AlreadyOpen(self._flow(held), server))
@@ -282,6 +285,8 @@
             self._ended(held, i.CANCELLED)
 
     def _loaded(self, event: Loaded) -> None:
+        if LOG.isEnabledFor(10):
+            say("load", 10, flow=event.number, load=event.load)
         if event.number in self.flows:
             self._decide(i.LoadNoted(event.number, event.load))
 
