--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -15,17 +15,12 @@
   6. shared probes  siblings tell one another the loads they probed, within a price
 """
 
-import math  # noqa: I001
+import math
 import random
 from collections import Counter
 from zlib import crc32
 
-from lotusroute.interface import (
-    CHANGES, ERROR, FULL, GONE, NEVER_RAN, OK, ONCE_ONLY, READY, REFERENCED, REFUSED, REPEATABLE,
-    RESET, TIMEOUT, UNREACHABLE, Abort, Action, AlreadyOpen, Connect, DelayNoted, Ended, Established, Event,
-    Flow, LoadNoted, Move, PeerSaid, Probe, Probed, Reject, Say, Server, ServerList, Subscribe, Tell, Vip,
-    Wake, WakeMe, Withdrawn,
-)  # fmt: skip
+from lotusroute import interface as i
 
 P = 10  # bits: 1024 segments, so that few groups share one; 8 mixed them, 12 gave no more
 FILL = 1.4  # mean servers' connections that one server can take: at 40% load, with the cost of a group
@@ -53,6 +48,7 @@
 TARGET = 0.8  # load over capacity to get an overdriven server down to; what is piled up must drain
 HOT_FOR = 2_500.0  # ms: two and a half of the notes that come once a second
 NOTED_FOR = 8_000.0  # ms: a server says when its messages are well again, but only over own connections
+SLOWER = 2.0  # times the others' median set-up: a server that was overdriven took 2 to 4, chance seldom twice
 PATIENCE = 2.0  # setup targets: how long one connect may take while others could follow
 FAILING = 0.5  # failed connects per one that stands: as many as a cut zone brings, more and flows wait
 SPARE = 4.0  # failed connects: so few say nothing yet
@@ -78,16 +74,17 @@
 
     __slots__ = ("id", "word", "tag", "zone", "cell", "state", "size", "started", "listed",
                  "open", "bad", "aside", "hot", "load", "load_at", "turn", "own_turn", "turns", "weak",
-                 "moved", "room", "joined")  # fmt: skip
+                 "moved", "room", "joined", "setup")  # fmt: skip
 
-    def __init__(self, line: Server, now: float) -> None:
+    def __init__(self, line: i.Server, now: float) -> None:
         self.id, self.started, self.listed = line.id, line.started, now
-        self.state = GONE  # until its line is read
+        self.state = i.GONE  # until its line is read
         self.word = _word(line.id)
         self.tag = (self.word >> 48).to_bytes(2)  # short name in messages; two alike are rare, then misjudged
         self.size = 1.0
         self.open: dict[int, _Held] = {}  # own connections, emptied as each ends
         self.bad = self.aside = self.hot = self.weak = self.moved = 0.0
+        self.setup = 0.0  # ms, smoothed, that set-ups took
         self.room, self.joined = 0.0, 0  # own connections that fit by the last probe; made since
         self.turn, self.own_turn, self.turns = now, now, 0  # its last flows by turn, while cold or jammed
         self.load: float | None = None  # as last heard, and when
@@ -99,7 +96,7 @@
 
     __slots__ = ("flow", "segment", "tried", "ran", "ran_at", "sent_at", "host", "up", "load", "place")
 
-    def __init__(self, flow: Flow, segment: int) -> None:
+    def __init__(self, flow: i.Flow, segment: int) -> None:
         self.flow, self.segment = flow, segment
         self.place = 0  # of the segment's servers, the one that is its entry
         self.tried: list[str] = []
@@ -112,12 +109,12 @@
 class Director:
     """One balancer of one virtual ip."""
 
-    def __init__(self, vip: Vip, seed: int) -> None:
+    def __init__(self, vip: i.Vip, seed: int) -> None:
         self.vip = vip
         self.chance = random.Random(seed)
         self.slow = min((t.setup_target for t in vip.service_types.values()), default=0.0) / 3
         self.now = 0.0
-        self.out: list[Action] = []
+        self.out: list[i.Action] = []
         self.hosts: dict[str, _Host] = {}  # servers listed; gone ones leave with their last connection
         self.ready: list[_Host] = []  # as of the last list
         self.capacity = self.largest = 1.0  # their sizes added up, and the largest
@@ -137,7 +134,7 @@
         self.rate = self.asks = 0.0  # the same a tick
         self.subscribed, self.refusals, self.ask_at = False, 0, 0.0
 
-    def decide(self, now: float, event: Event) -> list[Action]:
+    def decide(self, now: float, event: i.Event) -> list[i.Action]:
         """Take one event and return the actions it calls for, in order."""
         self.now, self.out = now, []
         self._on[type(event)](self, event)
@@ -145,8 +142,8 @@
 
     # The server list
 
-    def _server_list(self, event: ServerList) -> None:
-        if event.scope == REFUSED:
+    def _server_list(self, event: i.ServerList) -> None:
+        if event.scope == i.REFUSED:
             # A broken subscription goes unnoticed unless renewed; all renewing at once breaks it again.
             self.subscribed = False
             self.refusals += 1
@@ -155,36 +152,36 @@
             return
         if not self.ticks:
             self.ticks = 1
-            self.out.append(WakeMe(self.chance.uniform(0.0, TICK), "tick"))
+            self.out.append(i.WakeMe(self.chance.uniform(0.0, TICK), "tick"))
         elif self.vip.must_ask:
             self.subscribed, self.refusals = True, 0
-        if event.scope != CHANGES:
+        if event.scope != i.CHANGES:
             listed = {line.id for line in event.servers}
             for host in self.hosts.values():
                 if host.id not in listed:
-                    host.state = GONE
+                    host.state = i.GONE
         for line in event.servers:
             self._listed(line)
-        for host in [h for h in self.hosts.values() if h.state == GONE and not h.open]:
+        for host in [h for h in self.hosts.values() if h.state == i.GONE and not h.open]:
             del self.hosts[host.id]
             self.tags.pop(host.tag, None)
-        self.ready = [h for h in self.hosts.values() if h.state == READY]
+        self.ready = [h for h in self.hosts.values() if h.state == i.READY]
         self.capacity = sum(h.size for h in self.ready) or 1.0
         self.largest = max((h.size for h in self.ready), default=1.0)
         self.orders.clear()
-        self.moved = {s: h for s, h in self.moved.items() if h.state == READY}
+        self.moved = {s: h for s, h in self.moved.items() if h.state == i.READY}
 
-    def _listed(self, line: Server) -> None:
+    def _listed(self, line: i.Server) -> None:
         host = self.hosts.get(line.id)
         if host is None:
-            if line.state == GONE:
+            if line.state == i.GONE:
                 return
             host = self.hosts[line.id] = _Host(line, self.now)
             self.tags[host.tag] = host
         elif line.started != host.started:
             # Back from the dead: what was held against the old process says nothing of the new one.
             host.started, host.listed = line.started, self.now
-            host.bad = host.aside = host.hot = host.weak = 0.0
+            host.bad = host.aside = host.hot = host.weak = host.setup = 0.0
             host.load = None
             host.turn, host.own_turn, host.turns = self.now, self.now, 0
         host.zone, host.cell, host.state = line.zone, line.cell, line.state
@@ -192,7 +189,7 @@
 
     # The design: segments, defaults and moves
 
-    def _segment(self, flow: Flow) -> int:
+    def _segment(self, flow: i.Flow) -> int:
         shared = flow.group if self.vip.shares_work else None
         return crc32((shared or flow.key or str(flow.id)).encode()) >> (32 - P)
 
@@ -250,12 +247,12 @@
 
     # Flows
 
-    def _flow(self, flow: Flow) -> None:
+    def _flow(self, flow: i.Flow) -> None:
         self.asked += 1
         self.arrived += not (flow.returned or flow.mid_flow)
         self._connect(self._hold(flow))
 
-    def _hold(self, flow: Flow) -> _Held:
+    def _hold(self, flow: i.Flow) -> _Held:
         held = self.held[flow.id] = _Held(flow, self._segment(flow))
         self.counts[held.segment] = self.counts.get(held.segment, 0) + 1
         held.place = crc32((flow.key or str(flow.id)).encode()) % self._places(held.segment)
@@ -294,7 +291,7 @@
             return aside
         return None
 
-    def _throttled(self, flow: Flow) -> bool:
+    def _throttled(self, flow: i.Flow) -> bool:
         """Where most connects fail whatever the server, something that all share is down, and further
         tries keep it down: at a jammed session store 36 connects a flow were made, all day."""
         excess = self.failed - FAILING * self.stood - SPARE
@@ -308,8 +305,8 @@
         if held.ran is None:
             return True
         kind = self.vip.service_types[held.flow.service_type]
-        if kind.kind != REFERENCED:
-            return kind.kind != ONCE_ONLY
+        if kind.kind != i.REFERENCED:
+            return kind.kind != i.ONCE_ONLY
         same = {"zone": host.zone == held.ran.zone, "cell": host.cell == held.ran.cell}
         return self.now < held.ran_at + kind.window and same.get(kind.group, True)
 
@@ -328,15 +325,15 @@
         held.sent_at, held.host = self.now, host
         host.open[flow.id] = held
         host.joined += 1
-        self.out.append(Connect(flow.id, host.id, within))
+        self.out.append(i.Connect(flow.id, host.id, within))
 
     def _give_up(self, held: _Held) -> None:
         kind = self.vip.service_types[held.flow.service_type]
-        known = kind.kind == REFERENCED and kind.group == "all"
-        if held.ran is None or kind.kind == REPEATABLE or known:
-            self.out.append(Reject(held.flow.id, min(self.vip.max_retry_after, ADVICE)))
+        known = kind.kind == i.REFERENCED and kind.group == "all"
+        if held.ran is None or kind.kind == i.REPEATABLE or known:
+            self.out.append(i.Reject(held.flow.id, min(self.vip.max_retry_after, ADVICE)))
         else:
-            self.out.append(Abort(held.flow.id))
+            self.out.append(i.Abort(held.flow.id))
         self._finish(held)
 
     def _finish(self, held: _Held | None) -> None:
@@ -348,72 +345,83 @@
         if held.host is not None:
             held.host.open.pop(held.flow.id, None)
 
-    def _already_open(self, event: AlreadyOpen) -> None:
+    def _already_open(self, event: i.AlreadyOpen) -> None:
         held = self._hold(event.flow)
         host = held.host = self.hosts.get(event.server)
         held.up = True
         if host is not None:
             host.open[event.flow.id] = held
 
-    def _established(self, event: Established) -> None:
+    def _established(self, event: i.Established) -> None:
         held = self.held.get(event.id)
         if held is not None:
             held.up = True
             self.stood += 1
             if held.host is not None:
                 held.host.bad *= 0.5
+                self._set_up(held.host, self.now - held.sent_at)
 
-    def _ended(self, event: Ended) -> None:
+    def _ended(self, event: i.Ended) -> None:
         held = self.held.get(event.id)
         if held is None:
             return
         host = held.host
-        self.failed += not held.up and event.result != OK
+        self.failed += not held.up and event.result != i.OK
         if host is not None:
             self._judge(host, held, event.result)
             host.open.pop(event.id, None)
         if event.final:
             self._finish(held)
             return
-        if event.result not in NEVER_RAN and held.ran is None:
+        if event.result not in i.NEVER_RAN and held.ran is None:
             held.ran, held.ran_at = host, held.sent_at
         self._connect(held)
 
-    def _withdrawn(self, event: Withdrawn) -> None:
+    def _withdrawn(self, event: i.Withdrawn) -> None:
         self._finish(self.held.get(event.id))
 
     # The health of servers
 
     def _judge(self, host: _Host, held: _Held, result: str) -> None:
-        if result == OK:
+        if result == i.OK:
             host.bad *= 0.5
-        elif result == FULL:
+        elif result == i.FULL:
             self._weaken(host)
             host.hot = max(host.hot, self.now + TICK)
-        elif result == UNREACHABLE:
+        elif result == i.UNREACHABLE:
             # Silent death shows in connects long before the list tells of it.
             self._blame(host, 0.6)
-        elif result in (ERROR, TIMEOUT) or (result == RESET and not held.up):
-            if result == TIMEOUT:
+        elif result in (i.ERROR, i.TIMEOUT) or (result == i.RESET and not held.up):
+            if result == i.TIMEOUT:
                 self._weaken(host)
             self._blame(host, 0.3)
-        elif result == RESET:
+        elif result == i.RESET:
             # Many connections cut at once: the process is gone. One cut now and then: it sheds load.
             self._weaken(host)
             self._blame(host, 0.15)
 
+    def _set_up(self, host: _Host, took: float) -> None:
+        """Where nothing else tells of a server's load its set-ups do: on sockets no server says that its messages
+        are slow, and one stood overdriven beside idle ones. A crowd slows all, so the others are the measure."""
+        host.setup = (host.setup + took) / 2 if host.setup else took
+        others = sorted(h.setup for h in self.ready if h.setup and h is not host)
+        if len(others) > 1 and host.load is None and not self._cold(host) and (
+                min(took, host.setup) > SLOWER * others[len(others) // 2]):
+            host.hot = max(host.hot, self.now + HOT_FOR)
+            self._weaken(host)
+
     def _blame(self, host: _Host, weight: float) -> None:
         host.bad += weight * (1 - host.bad)
         if host.bad >= BAD and host.aside <= self.now:
             host.aside = self.now + ASIDE + self.chance.uniform(0.0, ASIDE / 2)
-            self.out.append(Say(f"set aside {host.id}"))
+            self.out.append(i.Say(f"set aside {host.id}"))
 
-    def _load_noted(self, event: LoadNoted) -> None:
+    def _load_noted(self, event: i.LoadNoted) -> None:
         held = self.held.get(event.id)
         if held is not None:
             held.load = event.load
 
-    def _delay_noted(self, event: DelayNoted) -> None:
+    def _delay_noted(self, event: i.DelayNoted) -> None:
         host = self.hosts.get(event.server)
         if host is not None:
             host.hot = self.now + NOTED_FOR if event.delay >= self.slow else 0.0
@@ -435,11 +443,11 @@
             self.bytes_due = min(self.bytes_due + due, max(HOARD * due, MESSAGE))
         self.probes_due += min(len(ready), afford)
         for _ in range(int(self.probes_due)):
-            self.out.append(Probe(ready[int(self.ring * len(ready)) % len(ready)].id))
+            self.out.append(i.Probe(ready[int(self.ring * len(ready)) % len(ready)].id))
             self.ring = (self.ring + 1 / len(ready)) % 1
         self.probes_due %= 1
 
-    def _probed(self, event: Probed) -> None:
+    def _probed(self, event: i.Probed) -> None:
         host = self.hosts.get(event.server)
         load = event.loads.get("x0", event.loads.get("util"))
         if host is None or not event.ok or load is None:
@@ -447,10 +455,10 @@
         if self.bytes_due >= MESSAGE and (
                 host.load is None or abs(load - host.load) >= TELL or self.now >= host.load_at + RETELL):
             self.bytes_due -= MESSAGE
-            self.out.append(Tell(host.tag + bytes([max(0, min(255, round(load * 100)))])))
+            self.out.append(i.Tell(host.tag + bytes([max(0, min(255, round(load * 100)))])))
         self._loaded(host, load)
 
-    def _peer_said(self, event: PeerSaid) -> None:
+    def _peer_said(self, event: i.PeerSaid) -> None:
         """A sibling's probe. Nothing depends on it: each balancer keeps the rules alone."""
         said = event.message
         for at in range(0, len(said) - 2, 3):
@@ -516,8 +524,8 @@
 
     # Upkeep
 
-    def _wake(self, event: Wake) -> None:
-        self.out.append(WakeMe(TICK, "tick"))
+    def _wake(self, event: i.Wake) -> None:
+        self.out.append(i.WakeMe(TICK, "tick"))
         gain = max(RATE_GAIN, 1 / self.ticks)
         self.rate += gain * (self.arrived - self.rate)
         self.asks += gain * (self.asked - self.asks)
@@ -527,8 +535,8 @@
         self.stood *= 1 - RATE_GAIN
         if self.vip.must_ask and not self.subscribed and self.now >= self.ask_at:
             self.ask_at = self.now + self.vip.ask_every / 2
-            self.out.append(Subscribe())
-        self.sick = {h.id: h for h in self.sick.values() if h.weak > self.now and h.state == READY}
+            self.out.append(i.Subscribe())
+        self.sick = {h.id: h for h in self.sick.values() if h.weak > self.now and h.state == i.READY}
         for host in self.sick.values():
             if host.hot > self.now and host.open:
                 self._move_off(host)
@@ -549,11 +557,11 @@
         if host.load is not None:
             share = max(0.0, 1 - TARGET / max(host.load, 0.01))
         for held in able[: int(len(able) * share + self.chance.random())]:
-            self.out.append(Move(held.flow.id))
+            self.out.append(i.Move(held.flow.id))
             held.up = False
 
     _on = {
-        ServerList: _server_list, Flow: _flow, AlreadyOpen: _already_open, Established: _established,
-        Ended: _ended, Withdrawn: _withdrawn, LoadNoted: _load_noted, DelayNoted: _delay_noted,
-        Probed: _probed, Wake: _wake, PeerSaid: _peer_said,
+        i.ServerList: _server_list, i.Flow: _flow, i.AlreadyOpen: _already_open, i.Established: _established,
+        i.Ended: _ended, i.Withdrawn: _withdrawn, i.LoadNoted: _load_noted, i.DelayNoted: _delay_noted,
+        i.Probed: _probed, i.Wake: _wake, i.PeerSaid: _peer_said,
     }  # fmt: skip
