--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -48,7 +48,7 @@
 TARGET = 0.8  # load over capacity to get an overdriven server down to; what is piled up must drain
 HOT_FOR = 2_500.0  # ms: two and a half of the notes that come once a second
 NOTED_FOR = 8_000.0  # ms: a server says when its messages are well again, but only over own connections
-SLOWER = 2.0  # times the others' median set-up: a server that was overdriven took 2 to 4, chance seldom twice
+SLOWER = 2.0  # times the usual set-up: an overdriven server took 2 to 4 times as long, chance seldom does twice
 PATIENCE = 2.0  # setup targets: how long one connect may take while others could follow
 FAILING = 0.5  # failed connects per one that stands: as many as a cut zone brings, more and flows wait
 SPARE = 4.0  # failed connects: so few say nothing yet
@@ -126,6 +126,7 @@
         self.tags: dict[bytes, _Host] = {}  # hosts by their short name in messages; as many as hosts
         self.ticks = 0
         self.one = 0.01  # load of one connection, as the fleet's load and own connections tell
+        self.usual = 0.0  # ms that set-ups take, over all servers
         self.probes_due = self.bytes_due = 0.0
         self.ring = vip.me / vip.siblings  # where in the fleet the next own probe goes, 0 to 1
         self.depth = DEPTH  # of spilling, by the last tick's look at the fleet
@@ -401,12 +402,14 @@
             self._blame(host, 0.15)
 
     def _set_up(self, host: _Host, took: float) -> None:
-        """Where nothing else tells of a server's load its set-ups do: on sockets no server says that its messages
-        are slow, and one stood overdriven beside idle ones. A crowd slows all, so the others are the measure."""
-        host.setup = (host.setup + took) / 2 if host.setup else took
-        others = sorted(h.setup for h in self.ready if h.setup and h is not host)
-        if len(others) > 1 and host.load is None and not self._cold(host) and (
-                min(took, host.setup) > SLOWER * others[len(others) // 2]):
+        """On sockets no server tells that its messages are slow; one stood overdriven beside idle ones for 15 s.
+        Its set-ups took two to four times the usual. A crowd slows them everywhere and says nothing."""
+        if host.load is not None or self._cold(host) or max(self.asked - FEW, self.asks) > 2 * self.rate:
+            return
+        usual = self.usual or took
+        self.usual += RATE_GAIN * (took - usual) if self.usual else took
+        host.setup = ((host.setup or usual) + took) / 2
+        if min(took, host.setup) > SLOWER * usual:
             host.hot = max(host.hot, self.now + HOT_FOR)
             self._weaken(host)
 
