--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -48,7 +48,8 @@
 TARGET = 0.8  # load over capacity to get an overdriven server down to; what is piled up must drain
 HOT_FOR = 2_500.0  # ms: two and a half of the notes that come once a second
 NOTED_FOR = 8_000.0  # ms: a server says when its messages are well again, but only over own connections
-SLOWER = 2.0  # times the usual set-up: an overdriven server took 2 to 4 times as long, chance seldom does twice
+SLOWER = 2.0  # times the usual set-up: an overdriven server took 2 to 4, chance seldom does twice
+CROWD = 2  # connects under way elsewhere, beside twice what is usual: more of them slow one another
 PATIENCE = 2.0  # setup targets: how long one connect may take while others could follow
 FAILING = 0.5  # failed connects per one that stands: as many as a cut zone brings, more and flows wait
 SPARE = 4.0  # failed connects: so few say nothing yet
@@ -402,12 +403,13 @@
             self._blame(host, 0.15)
 
     def _set_up(self, host: _Host, took: float) -> None:
-        """On sockets no server tells that its messages are slow; one stood overdriven beside idle ones for 15 s.
-        Its set-ups took two to four times the usual. A crowd slows them everywhere and says nothing."""
-        if host.load is not None or self._cold(host) or max(self.asked - FEW, self.asks) > 2 * self.rate:
+        """On sockets no server tells that its messages are slow: one stood overdriven beside idle ones for 15 s.
+        Its set-ups took two to four times the usual. In a crowd they do so everywhere, and say nothing."""
+        waiting = sum(not held.up and held.host is not host for held in self.held.values())
+        if host.load is not None or self._cold(host) or waiting > CROWD + 2 * self.rate * self.usual / TICK:
             return
         usual = self.usual or took
-        self.usual += RATE_GAIN * (took - usual) if self.usual else took
+        self.usual = usual + RATE_GAIN * (took - usual)
         host.setup = ((host.setup or usual) + took) / 2
         if min(took, host.setup) > SLOWER * usual:
             host.hot = max(host.hot, self.now + HOT_FOR)
