--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -48,8 +48,7 @@
 TARGET = 0.8  # load over capacity to get an overdriven server down to; what is piled up must drain
 HOT_FOR = 2_500.0  # ms: two and a half of the notes that come once a second
 NOTED_FOR = 8_000.0  # ms: a server says when its messages are well again, but only over own connections
-SLOWER = 2.0  # times the usual set-up: an overdriven server took 2 to 4, chance seldom does twice
-CROWD = 2  # connects under way elsewhere, beside twice what is usual: more of them slow one another
+SLOWER = 2.0  # times the others' median set-up: an overdriven server took 2 to 4, chance seldom does twice
 PATIENCE = 2.0  # setup targets: how long one connect may take while others could follow
 FAILING = 0.5  # failed connects per one that stands: as many as a cut zone brings, more and flows wait
 SPARE = 4.0  # failed connects: so few say nothing yet
@@ -361,7 +360,8 @@
             self.stood += 1
             if held.host is not None:
                 held.host.bad *= 0.5
-                self._set_up(held.host, self.now - held.sent_at)
+                if held.host.load is None:
+                    self._set_up(held.host, self.now - held.sent_at)
 
     def _ended(self, event: i.Ended) -> None:
         held = self.held.get(event.id)
@@ -404,14 +404,11 @@
 
     def _set_up(self, host: _Host, took: float) -> None:
         """On sockets no server tells that its messages are slow: one stood overdriven beside idle ones for 15 s.
-        Its set-ups took two to four times the usual. In a crowd they do so everywhere, and say nothing."""
-        waiting = sum(not held.up and held.host is not host for held in self.held.values())
-        if host.load is not None or self._cold(host) or waiting > CROWD + 2 * self.rate * self.usual / TICK:
-            return
-        usual = self.usual or took
-        self.usual = usual + RATE_GAIN * (took - usual)
-        host.setup = ((host.setup or usual) + took) / 2
-        if min(took, host.setup) > SLOWER * usual:
+        Its set-ups took two to four times the others'; in a crowd all take long, and it says nothing."""
+        self.usual += RATE_GAIN * (took - self.usual) if self.usual else took
+        host.setup = ((host.setup or self.usual) + took) / 2
+        others = sorted(h.setup or self.usual for h in self.ready if h is not host)
+        if others and min(took, host.setup) > SLOWER * others[len(others) // 2] and not self._cold(host):
             host.hot = max(host.hot, self.now + HOT_FOR)
             self._weaken(host)
 
