--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -409,7 +409,7 @@
         host.setup = ((host.setup or self.usual) + took) / 2
         others = sorted(h.setup or self.usual for h in self.ready if h is not host)
         if others and min(took, host.setup) > SLOWER * others[len(others) // 2] and not self._cold(host):
-            host.hot = max(host.hot, self.now + HOT_FOR)
+            host.hot = self.now + NOTED_FOR
             self._weaken(host)
 
     def _blame(self, host: _Host, weight: float) -> None:
