A server whose set-ups take twice the others' median counts as overdriven

Checked: every line from servers and clients was logged: a client's line comes back in 0.1 to 0.3 ms, from overdriven servers too, so timing it tells nothing on these machines. PING of all servers once a second rises by 1 to 6 ms at a slow server and by 0.5 ms at an overdriven one, too little to build on. Receipts do tell: 50 to 240 ms from such a server against 15 to 40 ms from the others at the same time. Ruled out: loop lag (CPU under 0.4 s in any second), lost flows, late answers. Change (choice.py, _set_up): set-ups are smoothed by server; one that takes over twice the median of the others makes its server hot for 2.5 s, and jammed. Only where no probe tells the load, and not while the server is cold.

--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -17,7 +17,6 @@
 
 import math
 import random
-from collections import Counter
 from zlib import crc32
 
 from lotusroute import interface as i
@@ -234,8 +233,8 @@
         if len(busiest.open) < FEW or usage[idlest.id] >= R * usage[busiest.id]:
             return
         gap = (usage[busiest.id] - usage[idlest.id]) / usage[busiest.id] * len(busiest.open) / 2
-        own = Counter((held.segment, held.place) for held in busiest.open.values())
-        own = [spot for spot in sorted(own) if self._entry(*spot) is busiest]
+        own = sorted({(held.segment, held.place) for held in busiest.open.values()})
+        own = [spot for spot in own if self._entry(*spot) is busiest]
         if own:
             spot = min(own, key=lambda spot: abs(self.counts[spot[0]] - gap))
             self.moved.pop(spot, None)
@@ -359,9 +358,7 @@
             held.up = True
             self.stood += 1
             if held.host is not None:
-                held.host.bad *= 0.5
-                if held.host.load is None:
-                    self._set_up(held.host, self.now - held.sent_at)
+                self._set_up(held.host, self.now - held.sent_at)
 
     def _ended(self, event: i.Ended) -> None:
         held = self.held.get(event.id)
@@ -379,9 +376,6 @@
             held.ran, held.ran_at = host, held.sent_at
         self._connect(held)
 
-    def _withdrawn(self, event: i.Withdrawn) -> None:
-        self._finish(self.held.get(event.id))
-
     # The health of servers
 
     def _judge(self, host: _Host, held: _Held, result: str) -> None:
@@ -403,13 +397,15 @@
             self._blame(host, 0.15)
 
     def _set_up(self, host: _Host, took: float) -> None:
-        """On sockets no server tells that its messages are slow: one stood overdriven beside idle ones for 15 s.
-        Its set-ups took two to four times the others'; in a crowd all take long, and it says nothing."""
+        """On sockets no server tells that its messages are slow: one stood overdriven beside idle ones, 15 s.
+        Its set-ups took two to four times the others'. In a crowd all take long, which says nothing."""
+        host.bad *= 0.5
         self.usual += RATE_GAIN * (took - self.usual) if self.usual else took
         host.setup = ((host.setup or self.usual) + took) / 2
-        others = sorted(h.setup or self.usual for h in self.ready if h is not host)
+        told = host.load is not None
+        others = sorted(h.setup or self.usual for h in self.ready if not told and h is not host)
         if others and min(took, host.setup) > SLOWER * others[len(others) // 2] and not self._cold(host):
-            host.hot = self.now + NOTED_FOR
+            host.hot = max(host.hot, self.now + HOT_FOR)
             self._weaken(host)
 
     def _blame(self, host: _Host, weight: float) -> None:
@@ -430,8 +426,7 @@
             self._weaken(host)
 
     def _probe(self, ready: list[_Host]) -> None:
-        """Probe what the price allows: 160 balancers that each probed 80 servers a second spent a third of
-        all service on it."""
+        """Probe what the price allows: 160 balancers that all probed 80 servers cost a third of service."""
         for host in ready:
             if host.load is not None and self.now > host.load_at + STALE:
                 host.load = None
@@ -482,9 +477,8 @@
         host.joined = 0
 
     def _turn(self, host: _Host, bears: float) -> bool:
-        """One flow while the turn is this balancer's. Turns pass by own number; each lasts such a part of a
-        round that the server gets no more than it bears, in multiples of what a warm one gets now. 377
-        balancers that waited for one another left 555 cold servers idle for good."""
+        """One flow while the turn is this balancer's. Turns pass by own number, each such a part of a round
+        as the server bears, in multiples of what a warm one gets. 377 that waited for all left 555 idle."""
         turn = bears / LUMP
         if self._cold(host):
             # Its own part of the budget, which with few balancers is most of what a crowd leaves.
@@ -533,14 +527,13 @@
         self.asks += gain * (self.asked - self.asks)
         self.ticks += 1
         self.arrived = self.asked = 0
-        self.failed *= 1 - RATE_GAIN
-        self.stood *= 1 - RATE_GAIN
+        self.failed, self.stood = self.failed * (1 - RATE_GAIN), self.stood * (1 - RATE_GAIN)
         if self.vip.must_ask and not self.subscribed and self.now >= self.ask_at:
             self.ask_at = self.now + self.vip.ask_every / 2
             self.out.append(i.Subscribe())
         self.sick = {h.id: h for h in self.sick.values() if h.weak > self.now and h.state == i.READY}
         for host in self.sick.values():
-            if host.hot > self.now and host.open:
+            if host.open and host.hot > self.now >= host.moved + MOVE_EVERY:
                 self._move_off(host)
         # Where much of the fleet is jammed, scattered groups cost more than the spill relieves.
         self.depth = DEPTH if len(self.sick) <= JAMMED * len(self.ready) else JAMMED_DEPTH
@@ -550,8 +543,6 @@
             self._check()
 
     def _move_off(self, host: _Host) -> None:
-        if self.now < host.moved + MOVE_EVERY:
-            return
         host.moved = self.now
         able = [h for h in host.open.values() if h.up]
         able.sort(key=lambda h: (-h.load, h.flow.id))
@@ -564,6 +555,6 @@
 
     _on = {
         i.ServerList: _server_list, i.Flow: _flow, i.AlreadyOpen: _already_open, i.Established: _established,
-        i.Ended: _ended, i.Withdrawn: _withdrawn, i.LoadNoted: _load_noted, i.DelayNoted: _delay_noted,
-        i.Probed: _probed, i.Wake: _wake, i.PeerSaid: _peer_said,
+        i.Ended: _ended, i.Withdrawn: lambda me, event: me._finish(me.held.get(event.id)), i.Wake: _wake,
+        i.LoadNoted: _load_noted, i.DelayNoted: _delay_noted, i.Probed: _probed, i.PeerSaid: _peer_said,
     }  # fmt: skip
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -335,3 +335,25 @@
         default = host.director._order(host.director._segment(i.Flow(0, "live", None, None, key, 0.0)))[0]
         if default.id != "cold":
             assert isinstance(host.ask(key), i.Reject)
+
+
+def test_a_server_whose_set_ups_take_far_longer_than_the_others_is_overdriven():
+    # Sockets, one slow server: nothing else told of it, and its clients were ill served for 15 s.
+    host = FakeHost()
+
+    def open_in(ms, key):
+        connect = host.ask(key)
+        host.now += ms(connect.server)
+        host.tell(i.Established(connect.id, connect.server))
+        return connect.server
+
+    slow = host.ask().server
+    for key in KEYS[:40]:
+        open_in(lambda server: 20.0, key)
+    seen = {open_in(lambda server: 90.0 if server == slow else 20.0, key) for key in KEYS[:40]}
+    assert slow in seen and slow not in {host.ask(key).server for key in KEYS[:20]}
+    assert of(i.Move, host.wait(2000.0))
+    host.now += 30_000.0
+    for key in KEYS:  # a crowd slows all alike
+        open_in(lambda server: 200.0, key)
+    assert all(known.hot <= host.now for known in host.director.hosts.values())
