--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -358,7 +358,7 @@
             held.up = True
             self.stood += 1
             if held.host is not None:
-                self._set_up(held.host, self.now - held.sent_at)
+                self._set_up(held.host, self.now - held.sent_at, held.flow.returned)
 
     def _ended(self, event: i.Ended) -> None:
         held = self.held.get(event.id)
@@ -396,13 +396,13 @@
             self._weaken(host)
             self._blame(host, 0.15)
 
-    def _set_up(self, host: _Host, took: float) -> None:
-        """On sockets no server tells that its messages are slow: one stood overdriven beside idle ones, 15 s.
-        Its set-ups took two to four times the others'. In a crowd all take long, which says nothing."""
+    def _set_up(self, host: _Host, took: float, returned: bool) -> None:
+        """Where no server tells that its messages are slow, one stood overdriven beside idle ones for 15 s. Its
+        set-ups took two to four times the others'. In a crowd, of returning clients, they say nothing."""
         host.bad *= 0.5
         self.usual += RATE_GAIN * (took - self.usual) if self.usual else took
         host.setup = ((host.setup or self.usual) + took) / 2
-        told = host.load is not None
+        told = self.vip.tells_delay or host.load is not None or returned
         others = sorted(h.setup or self.usual for h in self.ready if not told and h is not host)
         if others and min(took, host.setup) > SLOWER * others[len(others) // 2] and not self._cold(host):
             host.hot = max(host.hot, self.now + HOT_FOR)
--- a/lotusroute/interface.py
+++ b/lotusroute/interface.py
@@ -34,6 +34,7 @@
     sizes_hold: bool = True  # listed sizes stay the same between lists
     asks: bool = False  # servers may be probed
     probes: bool = False  # and then report their load
+    tells_delay: bool = False  # servers say when their messages are slow
     probe_price: float = 0.0  # points of service that one probe a flow costs
     peer_price: float = 0.0  # and one full message a flow
     peers: bool = False  # siblings may be told things
--- a/lotusroute/net/startup.py
+++ b/lotusroute/net/startup.py
@@ -96,8 +96,8 @@
         seed=int.from_bytes(str(told.get("seed", "")).encode()),
         sockets=int(figure("limits.sockets", limits.get("sockets"), SOCKETS)),
         known=known,
-        # The protocol has no messages between balancers.
-        vip=vip._replace(peers=False),
+        # The protocol has no messages between balancers, and no frame in which a server says it is slow.
+        vip=vip._replace(peers=False, tells_delay=False),
         connect_timeout=figure("settings.limits.connect_timeout", env.get("limits.connect_timeout"),
                                CONNECT_TIMEOUT),
         longest=max(figure(f"settings.{path}", env.get(path), 1.0) for path in deadlines),
--- a/lotusroute/vip.py
+++ b/lotusroute/vip.py
@@ -93,6 +93,7 @@
         sizes_hold=env.get("weights", "silent") in ("nominal", "rough"),
         asks=probes,
         probes=probes,
+        tells_delay=flag("family_info.tells_delay"),
         probe_price=get("deductions.probe"),
         peer_price=get("deductions.peer"),
         peers=flag("limits.peers"),
