--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -358,7 +358,7 @@
             held.up = True
             self.stood += 1
             if held.host is not None:
-                self._set_up(held.host, self.now - held.sent_at, held.flow.returned)
+                self._set_up(held.host, self.now - held.sent_at)
 
     def _ended(self, event: i.Ended) -> None:
         held = self.held.get(event.id)
@@ -396,17 +396,17 @@
             self._weaken(host)
             self._blame(host, 0.15)
 
-    def _set_up(self, host: _Host, took: float, returned: bool) -> None:
-        """Where no server tells that its messages are slow, one stood overdriven beside idle ones for 15 s. Its
-        set-ups took two to four times the others'. In a crowd, of returning clients, they say nothing."""
+    def _set_up(self, host: _Host, took: float) -> None:
+        """Where no server tells that its messages are slow, one stood overdriven beside idle ones for 15 s.
+        Its set-ups took two to four times the others'. A crowd slows them too: the pace is mild and short."""
         host.bad *= 0.5
         self.usual += RATE_GAIN * (took - self.usual) if self.usual else took
         host.setup = ((host.setup or self.usual) + took) / 2
-        told = self.vip.tells_delay or host.load is not None or returned
+        told = self.vip.tells_delay or host.load is not None
         others = sorted(h.setup or self.usual for h in self.ready if not told and h is not host)
         if others and min(took, host.setup) > SLOWER * others[len(others) // 2] and not self._cold(host):
             host.hot = max(host.hot, self.now + HOT_FOR)
-            self._weaken(host)
+            self._weaken(host, HOT_FOR)
 
     def _blame(self, host: _Host, weight: float) -> None:
         host.bad += weight * (1 - host.bad)
@@ -512,10 +512,10 @@
             return host.room >= 0
         return self._turn(host, PACE * 2 ** ((self.now + RECOVERY - host.weak) / DOUBLING))
 
-    def _weaken(self, host: _Host) -> None:
+    def _weaken(self, host: _Host, lasts: float = RECOVERY) -> None:
         if host.weak <= self.now:
             host.turn = self.now
-        host.weak = self.now + RECOVERY
+        host.weak = max(host.weak, self.now + lasts)
         self.sick[host.id] = host
 
     # Upkeep
--- a/lotusroute/net/owner.py
+++ b/lotusroute/net/owner.py
@@ -33,7 +33,8 @@
 FULL_ADVICE = 1_000.0  # ms for a newcomer who finds no descriptor left: connections end by the second
 STOP_MOVES = 450.0  # ms after the order to stop: until then the front sends newcomers, moved ones too
 STOP_SPREAD = 1_300.0  # ms over which clients are moved then, so that the others see no crowd
-STOP_STEP = 50.0  # ms between groups of them
+DRAIN_SPREAD = 1_000.0  # ms over which the clients of a draining server are moved: it leaves within seconds
+STEP = 50.0  # ms between groups of clients that are moved
 STOP_LONGEST = 3_000.0  # ms: the longest deadline that is waited for before the kill
 STOP_REST = 350.0  # ms of the 700 beyond it after which nothing more may be in hand
 STOP_ADVICE = 400.0  # ms after which a newcomer meets the others: the front has heard by then
@@ -63,7 +64,7 @@
 
 
 class Step(NamedTuple):
-    """The own end goes on."""
+    """It is time to move the next clients whose server, or whose balancer, leaves."""
 
 
 class _Held:
@@ -96,6 +97,8 @@
         self.delays: dict[str, list[float]] = {}  # answers timed since the last look, which empties it
         self.slow: set[str] = set()  # servers noted as slow; leave when noted as well again, or gone
         self.room = max(1, (posting.sockets - RESERVE) // 2)
+        self.draining: dict[str, float] = {}  # when their clients shall be gone; leave by the list
+        self.stepping = False
         self.stopping = 0.0
         self.stopped = None  # called when all are gone
         self._later(LOOK, Look())
@@ -303,10 +306,17 @@
         for server in event.servers:
             if server.state == i.GONE:
                 self.dials.pop(server.id, None)
+            if server.state != i.DRAINING:
+                self.draining.pop(server.id, None)
+            elif server.id not in self.draining:
+                # Not every server sends its clients away; those it still holds when it leaves are cut off.
+                self.draining[server.id] = self.clock() + DRAIN_SPREAD
+                self._step_on()
         self.dials.update(event.dials)
         for server in [s for s in self.probers if s not in self.dials]:
             self.probers.pop(server).close()
         self.slow &= self.dials.keys()
+        self.draining = {s: until for s, until in self.draining.items() if s in self.dials}
         if LOG.isEnabledFor(10):
             for server in event.servers:
                 say("listed", 10, scope=event.scope, server=server.id, state=server.state, at=server.started)
@@ -412,30 +422,46 @@
         if held.attempt is not None:
             held.attempt.abandon()
 
-    # The own end
+    # Those who leave: a draining server, or this balancer
 
     def stop(self, stopped) -> None:
         """Finish what is in hand and send all clients away; call `stopped` when they are gone."""
         if not self.stopping:
             self.stopping, self.stopped = self.clock(), stopped
             say("stopping", flows=len(self.flows))
-            self._later(STOP_STEP, Step())
+            self._step_on()
+
+    def _step_on(self) -> None:
+        if not self.stepping:
+            self.stepping = True
+            self._later(STEP, Step())
 
     def _step(self, _: Step) -> None:
-        gone = self.clock() - self.stopping
-        last = min(self.posting.longest, STOP_LONGEST) + STOP_REST
+        self.stepping, now = False, self.clock()
         up = [held for held in self.flows.values() if held.up and not held.left]
+        for server, until in self.draining.items():
+            self._send_away([held for held in up if held.attempt.server == server], until - now)
+        if self.stopping:
+            self._stop_on(now - self.stopping, [held for held in up if held.attempt is not None])
+        elif any(held.attempt.server in self.draining for held in self.flows.values() if held.attempt):
+            self._step_on()
+
+    def _send_away(self, up: list[_Held], left: float) -> None:
+        """Move as many of them as brings all away in the time left, so that the others see no crowd."""
+        for held in up[: math.ceil(len(up) / max(1.0, left / STEP))]:
+            self._move(i.Move(held.number))
+
+    def _stop_on(self, gone: float, up: list[_Held]) -> None:
+        last = min(self.posting.longest, STOP_LONGEST) + STOP_REST
         if gone >= STOP_MOVES:
-            steps = max(1.0, (STOP_MOVES + STOP_SPREAD - gone) / STOP_STEP)
-            for held in up[: math.ceil(len(up) / steps)]:
-                self._move(i.Move(held.number))
+            self._send_away(up, STOP_MOVES + STOP_SPREAD - gone)
         if gone >= last:
             for held in list(self.flows.values()):
                 self._cut(held)
-        if gone >= last or (gone >= STOP_MOVES + STOP_STEP and not self.flows):
+        if gone >= last or (gone >= STOP_MOVES + STEP and not self.flows):
             self.stopped()
         else:
-            self._later(STOP_STEP, Step())
+            self._step_on()
 
     def _cut(self, held: _Held) -> None:
         if held.up:
--- /dev/null
+++ b/tests/test_net.py
@@ -0,0 +1,246 @@
+"""Stories of the balancer on loopback sockets: one for each failure met or to be kept out."""
+
+import signal
+import socket
+import struct
+import time
+
+import pytest
+from fakehost import SETTINGS, Balancer, FakeServer, soon
+
+from lotusroute import interface
+from lotusroute.net import startup
+from lotusroute.net.lines import SliceReceiver
+from lotusroute.vip import Malformed
+
+
+def test_a_flow_is_served_and_lines_pass_unchanged_both_ways():
+    server = FakeServer("s1", b"UP 5cf3\r\nLOAD 12.5\r\n")
+    with Balancer(server) as balancer:
+        client = balancer.ask(wait=1500, g="yard", x="1")
+        assert client.readline() == b"UP 5cf3\r\n" and client.readline() == b"LOAD 12.5\r\n"
+        first = server.lines[0].decode()
+        wait = int(first.split("d=")[1].split(",")[0])
+        assert first == f"OPEN id k c=live,d={wait},g=yard,x=1\r\n" and 300 <= wait <= 1500
+        client.write(b"M 1 ")
+        time.sleep(0.05)
+        client.write(b"a\r\nM 2 \xff b\r\n")
+        assert client.readline() == b"M 1 a\r\n" and client.readline() == b"M 2 \xff b\r\n"
+        client.conn.shutdown(socket.SHUT_WR)
+        assert client.readline() == b"BYE\r\n" and client.readline() == b""
+        assert server.lines[-1] == b""
+
+
+def test_counters_are_printed_on_a_signal_and_at_the_exit():
+    with Balancer(FakeServer("s1")) as balancer:
+        balancer.ask().readline()
+        balancer.process.send_signal(signal.SIGUSR1)
+        time.sleep(0.2)
+        log = balancer.end(signal.SIGTERM)
+        assert balancer.process.returncode == 0
+        assert log.count("event=counters") == 2 and "established=1" in log and "flows=1" in log
+
+
+def test_a_full_server_and_a_dead_one_are_passed_by_and_never_two_connects_are_out():
+    servers = [FakeServer("s1", b"BUSY\r\n"), FakeServer("s2", b"BUSY\r\n"), FakeServer("s3", b"UP r\r\n")]
+    servers[1].socket.close()
+    with Balancer(*servers) as balancer:
+        for key in "abcdef":
+            assert balancer.ask(key).readline() == b"UP r\r\n"
+        assert servers[0].lines and servers[2].lines
+
+
+def test_a_silent_server_costs_an_answer_in_time_and_a_late_receipt_reaches_nobody():
+    server = FakeServer("s1", None)
+    with Balancer(server) as balancer:
+        start = time.monotonic()
+        client = balancer.ask(wait=500)
+        assert client.readline().startswith(b"BUSY") and client.readline() == b""
+        assert time.monotonic() - start < 0.5
+        # The connect was closed, so that the server knows nobody waits.
+        soon(lambda: server.lines[-1] == b"")
+
+
+def test_all_servers_dead_means_a_refusal_at_once_with_advice():
+    server = FakeServer("s1")
+    server.socket.close()
+    with Balancer(server) as balancer:
+        start = time.monotonic()
+        assert balancer.ask().readline() == b"BUSY 1000\r\n"
+        assert time.monotonic() - start < 1.0
+
+
+@pytest.mark.parametrize("bad", [
+    b"", b"HELLO", b"OPEN", b"OPEN id k", b"OPEN id k c=live", b"OPEN id k c=live,d=x", b"OPEN id k c=live,d=-5",
+    b"OPEN id k c=odd,d=900", b"OPEN id k c=live,d=900,d=900", b"OPEN id k c=live,d=nan", b"OPEN \xff k c=live,d=9",
+    b"OPEN id k " + b"x" * 4100, b"x" * 9000,
+])  # fmt: skip
+def test_a_malformed_first_line_is_answered_and_the_next_client_is_served(bad, running):
+    assert running.say(bad).readline() == b"ERR\r\n"
+    assert running.ask().readline() == b"UP r1\r\n"
+
+
+@pytest.fixture(scope="module")
+def running():
+    with Balancer(FakeServer("s1")) as balancer:
+        yield balancer
+
+
+def test_a_standing_connection_goes_back_to_its_server_and_waits_for_a_list_that_names_it():
+    servers = [FakeServer(f"s{at}", f"UP s{at}\r\n".encode()) for at in range(4)]
+    with Balancer(*servers[:3]) as balancer:
+        for at in range(3):
+            assert balancer.ask(at=f"s{at}").readline() == f"UP s{at}\r\n".encode()
+        late = balancer.ask(wait=9000, at="s3")
+        time.sleep(0.2)
+        balancer.list.entries = [s.entry() for s in servers]
+        balancer.list.seq += 1
+        assert late.readline() == b"UP s3\r\n"
+
+
+def test_the_remembered_list_serves_while_discovery_is_silent_and_news_are_followed():
+    one, two = FakeServer("s1", b"UP one\r\n"), FakeServer("s2", b"UP two\r\n")
+    with Balancer(one, listed=False) as balancer:
+        assert balancer.ask().readline() == b"UP one\r\n"
+        balancer.list.entries, balancer.list.seq = [two.entry()], 5
+        soon(lambda: balancer.ask().readline() == b"UP two\r\n")
+        balancer.list.entries, balancer.list.seq = [two.entry("DELETED"), one.entry()], 6
+        soon(lambda: balancer.ask().readline() == b"UP one\r\n")
+
+
+def test_clients_of_a_draining_server_are_moved_before_it_leaves():
+    one, two = FakeServer("s1", b"UP one\r\n"), FakeServer("s2", b"UP two\r\n")
+    with Balancer(one) as balancer:
+        clients = [balancer.ask(str(at)) for at in range(9)]
+        assert {client.readline() for client in clients} == {b"UP one\r\n"}
+        balancer.list.entries, balancer.list.seq = [one.entry("DRAINING"), two.entry()], 2
+        assert {client.readline() for client in clients} == {b"MOVE\r\n"}
+        assert {client.readline() for client in clients} == {b""}
+        assert balancer.ask().readline() == b"UP two\r\n"
+
+
+def test_told_to_stop_it_refuses_newcomers_moves_its_clients_between_lines_and_exits():
+    server = FakeServer("s1")
+    with Balancer(server) as balancer:
+        client = balancer.ask()
+        client.readline()
+        server.conns[-1].sendall(b"M 7 half a li")
+        time.sleep(0.1)
+        balancer.process.send_signal(signal.SIGTERM)
+        time.sleep(0.1)
+        assert balancer.ask().readline().startswith(b"BUSY")
+        assert client.readline() == b"MOVE\r\n" and client.readline() == b""
+        balancer.end(signal.SIGTERM)
+        assert balancer.process.returncode == 0
+
+
+def test_a_flow_in_hand_at_the_stop_is_finished_and_then_moved():
+    server = FakeServer("s1", None)
+    with Balancer(server) as balancer:
+        client = balancer.ask(wait=1700)
+        soon(lambda: server.conns)
+        balancer.process.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        server.conns[0].sendall(b"UP late\r\n")
+        assert client.readline() == b"UP late\r\n" and client.readline() == b"MOVE\r\n"
+
+
+def test_a_reset_by_the_server_reaches_the_client_as_one():
+    server = FakeServer("s1")
+    with Balancer(server) as balancer:
+        client = balancer.ask()
+        client.readline()
+        server.conns[-1].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        server.conns[-1].shutdown(socket.SHUT_RD)
+        server.conns[-1].close()
+        start = time.monotonic()
+        try:
+            assert client.readline() == b""
+        except ConnectionResetError:
+            pass
+        assert time.monotonic() - start < 1.0
+
+
+def test_what_comes_with_the_receipt_and_the_end_is_passed_on_whole():
+    server = FakeServer("s1", b"UP r\r\nM 1 a\r\nBYE\r\n")
+    with Balancer(server) as balancer:
+        client = balancer.ask()
+        soon(lambda: server.conns)
+        server.conns[-1].shutdown(socket.SHUT_WR)
+        assert [client.readline() for _ in range(4)] == [b"UP r\r\n", b"M 1 a\r\n", b"BYE\r\n", b""]
+
+
+def test_a_server_that_falls_silent_is_left_before_its_clients_give_up():
+    server = FakeServer("s1")
+    with Balancer(server) as balancer:
+        client = balancer.ask()
+        client.readline()
+        server.silent = True
+        client.write(b"M 1 a\r\n")
+        start = time.monotonic()
+        assert client.readline() == b"MOVE\r\n" and time.monotonic() - start < 7.0
+
+
+def test_beyond_its_descriptors_newcomers_are_refused_and_served_again_later():
+    with Balancer(FakeServer("s1"), sockets=164) as balancer:
+        clients = [balancer.ask(str(at)) for at in range(2)]
+        assert {client.readline() for client in clients} == {b"UP r1\r\n"}
+        assert balancer.ask().readline() == b"BUSY 1000\r\n"
+        clients[0].conn.shutdown(socket.SHUT_WR)
+        assert clients[0].readline() == b"BYE\r\n"
+        soon(lambda: balancer.ask().readline() == b"UP r1\r\n")
+
+
+def test_a_client_that_reads_nothing_holds_its_server_back_not_the_memory():
+    server = FakeServer("s1")
+    with Balancer(server) as balancer:
+        client = balancer.ask()
+        client.readline()
+        conn = server.conns[-1]
+        conn.settimeout(0.5)
+        sent = 0
+        with pytest.raises(TimeoutError):
+            while sent < 64_000_000:
+                sent += conn.send(b"M 1 " + b"x" * 3900 + b"\r\n")
+        assert sent < 32_000_000 and balancer.ask("other").readline() == b"UP r1\r\n"
+
+
+@pytest.mark.parametrize("key, told", [
+    ("LB_CONFIG", None), ("LB_LISTEN", {"listen": "here"}), ("LB_DISCOVERY", {"discovery": "1.2.3.4:99999"}),
+    ("LB_NAME", {"name": 7}), ("limits.sockets", {"limits": {"sockets": "many"}}),
+    ("settings.limits.connect_timeout", {"settings": {**SETTINGS, "limits": {"connect_timeout": -1}}}),
+    ("settings: limits.max_connects", {"settings": {**SETTINGS, "limits": {"max_connects": "x"}}}),
+    ("settings.service_types", {"settings": {}}), ("known", {"known": [1]}),
+])  # fmt: skip
+def test_a_bad_key_is_named(key, told, tmp_path):
+    good = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": SETTINGS}
+    file = tmp_path / "told.json"
+    if told is not None:
+        file.write_text(__import__("json").dumps({**good, **told}))
+    with pytest.raises(Malformed, match=f"^{key}"):
+        startup.read({"LB_CONFIG": str(file)})
+
+
+def test_a_faulty_start_exits_with_2_and_says_why():
+    balancer = Balancer(FakeServer("s1"), env={"LB_LISTEN": "nowhere"}.items())
+    assert "LB_LISTEN: 'nowhere' is not host:port" in balancer.process.communicate(timeout=9)[1]
+    assert balancer.process.returncode == 2
+
+
+def test_settings_of_sockets_and_of_the_bench_give_one_vip():
+    vip = startup.decode_vip(dict(startup.flatten(SETTINGS)))
+    assert vip.service_types == {"live": interface.ServiceType(300.0)} and vip.max_retry_after == 1000.0
+
+
+def test_lines_are_slices_of_what_was_read_and_only_a_rest_is_copied():
+    class Kept(SliceReceiver):
+        def lineReceived(self, line):
+            kept.append(line)
+
+    kept, side = [], Kept()
+    side.transport = type("T", (), {"disconnecting": False})()
+    read = b"M 1 a\r\nM 2 b\r\nM 3"
+    side.dataReceived(read)
+    assert [bytes(line) for line in kept] == [b"M 1 a\r\n", b"M 2 b\r\n"] and kept[0].obj is read
+    side.dataReceived(b" c\r\n")
+    assert bytes(kept[2]) == b"M 3 c\r\n"
