--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -4,8 +4,10 @@
 import http.server
 import json
 import os
+import pathlib
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -73,11 +75,11 @@
 
 
 class FakeServer:
-    """A server on a free port; `reply` says what comes back to a first line, later lines come back as they are."""
+    """A server on a free port; `reply` is what comes back to a first line, later ones come back unchanged."""
 
     def __init__(self, name, reply=b"UP r1\r\n"):
         self.name, self.reply, self.lines, self.conns = name, reply, [], []
-        self.silent = False  # whether lines come back no more
+        self.silent = self.rude = False  # lines come back no more; connections end in a reset
         self.socket = socket.create_server(("127.0.0.1", 0))
         self.port = self.socket.getsockname()[1]
         threading.Thread(target=self._accept, daemon=True).start()
@@ -93,18 +95,28 @@
 
     def _serve(self, conn):
         with contextlib.suppress(OSError):
-            for line in conn.makefile("rb"):
-                self.lines.append(line)
-                if not line.startswith(b"OPEN"):
-                    conn.sendall(b"" if self.silent else line)
-                elif self.reply:
-                    conn.sendall(self.reply)
+            with contextlib.suppress(ConnectionResetError), conn.makefile("rb") as lines:
+                for line in lines:
+                    self.lines.append(line)
+                    if not line.startswith(b"OPEN"):
+                        conn.sendall(b"" if self.silent else line)
+                    elif self.reply:
+                        conn.sendall(self.reply)
             self.lines.append(b"")
-            conn.sendall(b"BYE\r\n")
+            if self.rude:
+                conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            else:
+                conn.sendall(b"BYE\r\n")
             conn.close()
 
+    def die(self):
+        """Refuse connections from now on."""
+        self.socket.shutdown(socket.SHUT_RDWR)
+        self.socket.close()
+
     def entry(self, health="SERVING"):
-        return {"host": self.name, "dial": f"127.0.0.1:{self.port}", "health": health, "share": 1.0, "born_ms": 0}
+        dial = f"127.0.0.1:{self.port}"
+        return {"host": self.name, "dial": dial, "health": health, "share": 1.0, "born_ms": 0}
 
 
 class FakeList(http.server.BaseHTTPRequestHandler):
@@ -143,12 +155,12 @@
         told = {"name": "n1", "listen": f"127.0.0.1:{self.port}", "seed": "5eed", "settings": settings,
                 "discovery": f"127.0.0.1:{self.list.server_port}", "limits": {"sockets": sockets},
                 "known": {"seq": 0, "whole": True, "hosts": [s.entry() for s in servers]}}  # fmt: skip
-        self.file = tempfile.NamedTemporaryFile("w", suffix=".json")
-        json.dump(told, self.file)
-        self.file.flush()
+        self.folder = tempfile.TemporaryDirectory()
+        file = pathlib.Path(self.folder.name, "config.json")
+        file.write_text(json.dumps(told))
         self.process = subprocess.Popen(
             [sys.executable, "-m", "lotusroute"], stderr=subprocess.PIPE, text=True,
-            env={**os.environ, "LB_CONFIG": self.file.name, **dict(env)},
+            env={**os.environ, "LB_CONFIG": str(file), **dict(env)},
         )  # fmt: skip
 
     def __enter__(self):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,7 +2,6 @@
 
 import signal
 import socket
-import struct
 import time
 
 import pytest
@@ -43,7 +42,7 @@
 
 def test_a_full_server_and_a_dead_one_are_passed_by_and_never_two_connects_are_out():
     servers = [FakeServer("s1", b"BUSY\r\n"), FakeServer("s2", b"BUSY\r\n"), FakeServer("s3", b"UP r\r\n")]
-    servers[1].socket.close()
+    servers[1].die()
     with Balancer(*servers) as balancer:
         for key in "abcdef":
             assert balancer.ask(key).readline() == b"UP r\r\n"
@@ -63,7 +62,7 @@
 
 def test_all_servers_dead_means_a_refusal_at_once_with_advice():
     server = FakeServer("s1")
-    server.socket.close()
+    server.die()
     with Balancer(server) as balancer:
         start = time.monotonic()
         assert balancer.ask().readline() == b"BUSY 1000\r\n"
@@ -71,8 +70,9 @@
 
 
 @pytest.mark.parametrize("bad", [
-    b"", b"HELLO", b"OPEN", b"OPEN id k", b"OPEN id k c=live", b"OPEN id k c=live,d=x", b"OPEN id k c=live,d=-5",
-    b"OPEN id k c=odd,d=900", b"OPEN id k c=live,d=900,d=900", b"OPEN id k c=live,d=nan", b"OPEN \xff k c=live,d=9",
+    b"", b"HELLO", b"OPEN", b"OPEN id k", b"OPEN id k c=live", b"OPEN id k c=live,d=x",
+    b"OPEN id k c=live,d=-5", b"OPEN id k c=odd,d=900", b"OPEN id k c=live,d=900,d=900",
+    b"OPEN id k c=live,d=nan", b"OPEN \xff k c=live,d=9",
     b"OPEN id k " + b"x" * 4100, b"x" * 9000,
 ])  # fmt: skip
 def test_a_malformed_first_line_is_answered_and_the_next_client_is_served(bad, running):
@@ -150,14 +150,11 @@
     with Balancer(server) as balancer:
         client = balancer.ask()
         client.readline()
-        server.conns[-1].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        server.rude = True
         server.conns[-1].shutdown(socket.SHUT_RD)
-        server.conns[-1].close()
         start = time.monotonic()
-        try:
-            assert client.readline() == b""
-        except ConnectionResetError:
-            pass
+        with pytest.raises(ConnectionResetError):
+            client.readline()
         assert time.monotonic() - start < 1.0
 
 
