A stall of the balancer is not taken for its servers'; silent and quiet connections end

Also: a silent connection is left after 2.5 s in place of 4.5; clients silent for a minute are moved; a failed event is answered with its flow forgotten by the decisions; connections beyond the descriptors get BUSY at once; standing connections are tried again for 35 s; the own end stays 0.9 s, so that no late newcomer is left in the backlog.

--- a/lotusroute/__main__.py
+++ b/lotusroute/__main__.py
@@ -31,7 +31,7 @@
     counts = log.Counts()
     owner = Owner(posting, counts)
     owner.put(remembered)
-    clients = Clients(owner.put, owner.clock, owner.ready, counts)
+    clients = Clients(owner.put, owner.clock, owner.ready, posting.sockets, counts)
     try:
         reactor.listenTCP(posting.listen[1], clients, backlog=BACKLOG, interface=posting.listen[0])
     except error.CannotListenError as fault:
--- a/lotusroute/net/clients.py
+++ b/lotusroute/net/clients.py
@@ -14,6 +14,7 @@
 from lotusroute.vip import Malformed, number
 
 FIRST_LINE = 30.0  # s for a connection to say something; a front's checks come oftener
+SPARE = 48  # descriptors that clients never get: discovery, probes, the log, the reactor's own
 LINGER = 1.0  # s for the other end to close after our last line; the protocol wants ends within a second
 
 
@@ -41,6 +42,11 @@
     opening: Opening
     at: float
 
+    @property
+    def number(self) -> int:
+        """Of its flow, once it has one."""
+        return self.side.number
+
 
 class Left(NamedTuple):
     """A client has ended its connection, or its sending on it."""
@@ -95,6 +101,10 @@
         super().connectionMade()
         self.factory.sides.add(self)
         self.setTimeout(FIRST_LINE)
+        if self.factory.full():
+            # Accepting until no descriptor is left would lose flows unanswered.
+            self.factory.counts["turned_away"] += 1
+            self.answer(BUSY)
 
     def lineReceived(self, line: memoryview) -> None:
         if self.attempt is not None:
@@ -187,10 +197,15 @@
     noisy = False
     protocol = ClientSide
 
-    def __init__(self, put: Callable, clock: Callable, ready: Callable, counts) -> None:
+    def __init__(self, put: Callable, clock: Callable, ready: Callable, sockets: int, counts) -> None:
         self.put, self.clock, self.ready, self.counts = put, clock, ready, counts
+        self.most = max(1, sockets - SPARE)
         self.sides: set[ClientSide] = set()  # open connections; each leaves as it is lost
 
+    def full(self) -> bool:
+        """Whether hardly a descriptor is left, at up to two for a connection."""
+        return len(self.sides) + sum(side.number > 0 for side in self.sides) > self.most
+
     def buildProtocol(self, addr) -> ClientSide:
         self.counts["connections"] += 1
         return super().buildProtocol(addr)
--- a/lotusroute/net/owner.py
+++ b/lotusroute/net/owner.py
@@ -19,22 +19,36 @@
 from lotusroute.net.discovery import Listed
 from lotusroute.net.lines import BUSY, ERR
 from lotusroute.net.log import LOG, fault, say
-from lotusroute.net.servers import Answered, Attempt, Fell, Loaded, Prober, Reported, Timed
+from lotusroute.net.servers import (
+    CONNECTING,
+    STANDING,
+    Answered,
+    Attempt,
+    Fell,
+    Loaded,
+    Prober,
+    Reported,
+    Timed,
+)
 from lotusroute.net.startup import Posting
 
 MARGIN = 40.0  # ms before a client's deadline by which it is answered: what a busy core may hold us up
 MARGIN_SHARE = 0.25  # of a short wait, which must leave time to serve
 LOOK = 1_000.0  # ms between looks at open connections; servers are judged slow by the second
-SILENT = 4_500.0  # ms without a line though one waits: gone, and well before the 7 s that clients bear
+SILENT = 2_500.0  # ms without a line though one waits: sound servers answer at once, clients bear 7 s
+QUIET = 60_000.0  # ms without a line from a client, who should send one every 2 s: its machine is gone
 GOING = 2_000.0  # ms for a server to end a connection that its client has left
 RESERVE = 160  # descriptors kept from flows: discovery, probes, log, and newcomers who are told BUSY
 QUEUE = 4096  # events that may wait before newcomers are refused unseen: some 100 ms of work
-AGAIN = 1_000.0  # ms before a standing connection that found no server is tried again; doubles
+AGAIN = 1_000.0  # ms before a standing connection that found no server is tried again
+STAND = 8_000.0  # ms that its server has to take it back; the start is the busiest time of all
+STAND_LONGEST = 35_000.0  # ms until it is given up; it counts as lost after 40 s
 FULL_ADVICE = 1_000.0  # ms for a newcomer who finds no descriptor left: connections end by the second
 STOP_MOVES = 450.0  # ms after the order to stop: until then the front sends newcomers, moved ones too
 STOP_SPREAD = 1_300.0  # ms over which clients are moved then, so that the others see no crowd
 DRAIN_SPREAD = 1_000.0  # ms over which the clients of a draining server are moved: it leaves within seconds
 STEP = 50.0  # ms between groups of clients that are moved
+STOP_STAY = 900.0  # ms that we stay at least: newcomers come for 400, and later still on a busy core
 STOP_LONGEST = 3_000.0  # ms: the longest deadline that is waited for before the kill
 STOP_REST = 350.0  # ms of the 700 beyond it after which nothing more may be in hand
 STOP_ADVICE = 400.0  # ms after which a newcomer meets the others: the front has heard by then
@@ -71,13 +85,13 @@
     """A flow in hand."""
 
     __slots__ = ("number", "opening", "due", "client", "attempt", "timer", "up", "left", "tries",
-                 "began")  # fmt: skip
+                 "began", "until")  # fmt: skip
 
     def __init__(self, number: int, opening: Opening, due: float, client: ClientSide) -> None:
         self.number, self.opening, self.due, self.client = number, opening, due, client
         self.attempt: Attempt | None = None  # the connect in flight, or the connection; one at a time
         self.timer = None
-        self.up, self.left, self.tries, self.began = False, 0.0, 0, 0.0
+        self.up, self.left, self.tries, self.began, self.until = False, 0.0, 0, 0.0, 0.0
 
 
 class Owner:
@@ -130,6 +144,9 @@
                 self.counts["faults"] += 1
                 fault("event failed", kind=type(event).__name__)
                 self._forget(getattr(event, "number", 0))
+                if isinstance(event, i.Wake | Step):
+                    # Without its next one the upkeep would stand still for good.
+                    self._later(LOOK, event)
         self.running = False
 
     def _forget(self, number: int) -> None:
@@ -141,6 +158,7 @@
                 held.client.move()
             else:
                 held.client.answer(ERR)
+            self.put(i.Withdrawn(number))
 
     def _later(self, ms: float, event: object):
         return reactor.callLater(max(0.0, ms) / 1000, self.put, event)
@@ -166,6 +184,7 @@
             held = self.flows[self.next] = _Held(self.next, opening, due, side)
             side.number = held.number
             if opening.at:
+                held.due = min(held.due, event.at + STAND_LONGEST)
                 self._stand(held)
             else:
                 self._decide(self._flow(held))
@@ -181,20 +200,18 @@
 
     def _stand(self, held: _Held) -> None:
         """A connection that stood before we started goes to its server, undecided."""
-        if held.opening.at not in self.dials:
-            held.attempt = None
+        if held.opening.at in self.dials:
+            held.tries += 1
+            self._begin(held, held.opening.at, min(held.due, self.clock() + STAND))
+        else:
             self._stand_again(held)
-            return
-        self._begin(held, held.opening.at, held.due)
 
     def _stand_again(self, held: _Held) -> None:
-        held.tries += 1
-        wait = AGAIN * 2 ** (held.tries - 1)
-        if held.tries >= self.posting.vip.max_connects or self.clock() + wait >= held.due:
+        if held.tries >= self.posting.vip.max_connects or self.clock() + AGAIN >= held.due:
             self.counts["standing_lost"] += 1
             self._answer(held, ERR)
         else:
-            self._later(wait, Again(held.number))
+            self._later(AGAIN * max(1, held.tries), Again(held.number))
 
     def _again(self, event: Again) -> None:
         held = self.flows.get(event.number)
@@ -208,8 +225,9 @@
             held.number, server, held.opening.rewritten(wait), self.put, self.clock, self.counts
         )
         limit = self.posting.connect_timeout
-        attempt.start(self.dials[server], min(limit, wait), wait < limit)
-        held.timer = self._later(wait, Overdue(held.number, attempt))
+        held.until = until
+        attempt.start(self.dials[server], wait < limit)
+        held.timer = self._later(min(limit, wait), Overdue(held.number, attempt))
         self.counts["connects"] += 1
         if LOG.isEnabledFor(10):
             say("connect", 10, flow=held.number, server=server, wait=wait)
@@ -239,9 +257,16 @@
         self._ended(held, event.result)
 
     def _overdue(self, event: Overdue) -> None:
-        held = self.flows.get(event.number)
-        if held is not None and held.attempt is event.attempt and not held.up:
-            self._ended(held, event.attempt.abandon())
+        """The time to come up, or all time, has passed. That comes through the queue, behind whatever the
+        sockets brought while we were held up: a stall of ours must not have healthy servers set aside."""
+        held, attempt = self.flows.get(event.number), event.attempt
+        if held is None or held.attempt is not attempt or attempt.reach >= STANDING:
+            return
+        left = held.until - self.clock()
+        if attempt.reach > CONNECTING and left > 0:
+            held.timer = self._later(left, event)
+        else:
+            self._ended(held, attempt.abandon())
 
     def _ended(self, held: _Held, result: str) -> None:
         """A connect, or the connection that came of it, is over."""
@@ -254,7 +279,8 @@
             del self.flows[held.number]
             self._decide(i.Ended(held.number, server, True, result))
         elif held.opening.at:
-            if result in i.NEVER_RAN:
+            kind = self.posting.vip.service_types[held.opening.service_type].kind
+            if result in i.NEVER_RAN or kind == i.REPEATABLE:
                 self._stand_again(held)
             else:
                 self.counts["standing_lost"] += 1
@@ -285,6 +311,7 @@
         held = self.flows.get(event.number)
         if held is not None:
             held.attempt.abandon()
+            held.client.halfClose()
             self._ended(held, i.CANCELLED)
 
     def _loaded(self, event: Loaded) -> None:
@@ -334,7 +361,7 @@
             waited = held.attempt.waited(now)
             if waited >= self.director.slow:
                 self.delays.setdefault(held.attempt.server, []).append(waited)
-            if held.attempt.silent(now) >= SILENT:
+            if held.attempt.silent(now) >= SILENT or held.attempt.quiet(now) >= QUIET:
                 silent.append(held)
         for server, delays in self.delays.items():
             delay = median(delays)
@@ -458,7 +485,7 @@
         if gone >= last:
             for held in list(self.flows.values()):
                 self._cut(held)
-        if gone >= last or (gone >= STOP_MOVES + STEP and not self.flows):
+        if gone >= last + STEP or (gone >= STOP_STAY and not self.flows):
             self.stopped()
         else:
             self._step_on()
@@ -474,7 +501,7 @@
         Asked: _asked, Answered: _answered, Fell: _fell, Overdue: _overdue, Left: _left, Loaded: _loaded,
         Timed: _timed, Reported: _reported, Listed: _listed, Again: _again, Gone: _gone, Look: _look,
         Step: _step,
-        i.Wake: lambda self, event: self._decide(event),
+        i.Wake: _decide, i.Withdrawn: _decide,
     }  # fmt: skip
     _do = {
         i.Connect: _connect, i.Reject: _reject, i.Abort: _abort, i.Move: _move, i.WakeMe: _wake_me,
--- a/lotusroute/net/servers.py
+++ b/lotusroute/net/servers.py
@@ -88,7 +88,7 @@
         self.attempt = attempt
         self.client = None  # where lines are passed on to, once the connection stands
         self.asked: deque[float] = deque(maxlen=UNANSWERED)  # when lines went out; each answer takes one
-        self.heard = 0.0
+        self.heard = self.spoke = 0.0  # when the server's and the client's last lines came
         self.last = i.RESET  # how the connection ends if it ended now
 
     def connectionMade(self) -> None:
@@ -129,7 +129,8 @@
 
     def pass_on(self, line: memoryview) -> None:
         """Take a client's line."""
-        self.asked.append(self.attempt.clock())
+        self.spoke = self.attempt.clock()
+        self.asked.append(self.spoke)
         self.send(line)
 
     def otherEnded(self) -> None:
@@ -165,20 +166,19 @@
         self.connector = None
         self.hurried = False  # the time to come up was cut short: a time-out says little of the server
 
-    def start(self, address: tuple[str, int], within: float, hurried: bool) -> None:
-        """Begin; the connection has `within` ms to come up."""
+    def start(self, address: tuple[str, int], hurried: bool) -> None:
+        """Begin; the owner keeps the time, so that a stall of ours is not taken for the server's."""
         self.hurried = hurried
-        self.connector = reactor.connectTCP(*address, self, timeout=max(0.0, within) / 1000)
+        self.connector = reactor.connectTCP(*address, self, timeout=None)
 
     def buildProtocol(self, addr) -> ServerSide:
         self.side = ServerSide(self)
         return self.side
 
     def clientConnectionFailed(self, connector, reason) -> None:
-        # Out of descriptors, or out of time: that is not the server's fault.
+        # Out of descriptors: that is not the server's fault.
         own = reason.check(error.ConnectBindError, error.UserError)
-        hurried = self.hurried and reason.check(error.TimeoutError)
-        self.fell(i.UNSENT if own or hurried else i.UNREACHABLE)
+        self.fell(i.UNSENT if own else i.UNREACHABLE)
 
     def broken(self) -> str:
         """How it ended, if the connection broke now: after the line's last byte it may have run."""
@@ -204,7 +204,7 @@
     def join(self, client) -> None:
         """Pass lines on to and from `client` from now on."""
         side = self.side
-        side.client, side.heard = client, self.clock()
+        side.client, side.heard, side.spoke = client, self.clock(), self.clock()
         client.transport.registerProducer(side.transport, streaming=True)
         side.transport.registerProducer(client.transport, streaming=True)
         side.release()
@@ -222,6 +222,10 @@
         """How long the oldest unanswered line of the client has waited, in ms."""
         return now - self.side.asked[0] if self.side.asked else 0.0
 
+    def quiet(self, now: float) -> float:
+        """For how long the client has said nothing, in ms."""
+        return now - self.side.spoke
+
     def silent(self, now: float) -> float:
         """For how long the server has brought nothing though a line waits, in ms."""
         return now - max(self.side.asked[0], self.side.heard) if self.side.asked else 0.0
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -178,6 +178,23 @@
         assert client.readline() == b"MOVE\r\n" and time.monotonic() - start < 7.0
 
 
+def test_a_stall_of_the_balancer_is_not_taken_for_one_of_the_servers():
+    server = FakeServer("s1", None)
+    with Balancer(server) as balancer:
+        client = balancer.ask()
+        soon(lambda: server.lines)
+        balancer.process.send_signal(signal.SIGSTOP)
+        server.conns[-1].sendall(b"UP r1\r\n")
+        time.sleep(0.8)  # a connect has 600 ms
+        balancer.process.send_signal(signal.SIGCONT)
+        assert client.readline() == b"UP r1\r\n"
+        balancer.process.send_signal(signal.SIGSTOP)
+        client.write(b"M 1 a\r\n")
+        time.sleep(3.5)  # silence is borne for 2.5 s
+        balancer.process.send_signal(signal.SIGCONT)
+        assert client.readline() == b"M 1 a\r\n"
+
+
 def test_beyond_its_descriptors_newcomers_are_refused_and_served_again_later():
     with Balancer(FakeServer("s1"), sockets=164) as balancer:
         clients = [balancer.ask(str(at)) for at in range(2)]
