--- a/lotusroute/net/owner.py
+++ b/lotusroute/net/owner.py
@@ -324,6 +324,9 @@
         self.delays.setdefault(event.server, []).append(event.delay)
 
     def _reported(self, event: Reported) -> None:
+        self.counts["probes_answered"] += event.ok
+        if LOG.isEnabledFor(10):
+            say("probed", 10, server=event.server, ok=event.ok, loads=event.loads)
         self._decide(i.Probed(event.server, event.ok, event.loads))
 
     def _listed(self, event: Listed) -> None:
