A client that breaks off is not held against its server

Found by reading: a client's reset was passed on to its server, whose end then counted as the server's reset, blamed and paced it for 12 s (servers.py, lost; clients.py, lost). Checked by a story with two resets: result=reset twice before, result=cancelled after. Also: quiet clients are moved without blame, clients that join a server already draining are moved too, and an abandoned connection no longer closes its client before the last line is out.

--- a/lotusroute/net/clients.py
+++ b/lotusroute/net/clients.py
@@ -156,7 +156,7 @@
         attempt.join(self)
         self.release()
         if self.ended:
-            attempt.side.halfClose()
+            attempt.client_ended(self.clearLineBuffer())
 
     def move(self) -> None:
         """Send the client away, after the last whole line."""
@@ -176,8 +176,7 @@
 
     def otherEnded(self) -> None:
         if self.attempt is not None:
-            self.attempt.side.transport.write(self.clearLineBuffer())
-            self.attempt.side.halfClose()
+            self.attempt.client_ended(self.clearLineBuffer())
         elif not self.number:
             self.transport.loseConnection()
         if self.number:
@@ -185,8 +184,8 @@
 
     def lost(self, clean: bool) -> None:
         self.factory.sides.discard(self)
-        if self.attempt is not None and not self.ended and self.attempt.side.transport is not None:
-            self.attempt.side.transport.abortConnection()
+        if self.attempt is not None and not self.ended:
+            self.attempt.client_lost()
         if self.number:
             self.factory.put(Left(self.number))
 
--- a/lotusroute/net/owner.py
+++ b/lotusroute/net/owner.py
@@ -245,6 +245,8 @@
         if LOG.isEnabledFor(10):
             say("up", 10, server=server, flow=held.number, ms=self.clock() - held.began)
         held.client.join(event.attempt, event.receipt)
+        if server in self.draining:
+            self._step_on()
         if held.opening.at:
             self._decide(i.AlreadyOpen(self._flow(held), server))
         else:
@@ -357,15 +359,17 @@
     def _look(self, _: Look) -> None:
         """Note slow servers, as the decisions expect it: once a second while it lasts, and once after."""
         self._later(LOOK, Look())
-        now, silent = self.clock(), []
+        now, silent, quiet = self.clock(), [], []
         for held in self.flows.values():
             if not held.up or held.attempt is None:
                 continue
             waited = held.attempt.waited(now)
             if waited >= self.director.slow:
                 self.delays.setdefault(held.attempt.server, []).append(waited)
-            if held.attempt.silent(now) >= SILENT or held.attempt.quiet(now) >= QUIET:
+            if held.attempt.silent(now) >= SILENT:
                 silent.append(held)
+            elif held.attempt.quiet(now) >= QUIET:
+                quiet.append(held)
         for server, delays in self.delays.items():
             delay = median(delays)
             if delay >= self.director.slow:
@@ -378,6 +382,8 @@
             say("server slow", 10, server=server, delay=delay, of=len(delays))
             self._decide(i.DelayNoted(server, delay))
         self.delays = {}
+        for held in quiet:
+            self._move(i.Move(held.number))
         for held in silent:
             # A machine that vanished says nothing, and TCP does not notice.
             self.counts["silent"] += 1
--- a/lotusroute/net/servers.py
+++ b/lotusroute/net/servers.py
@@ -196,6 +196,7 @@
         self.reach = OVER
         if self.side is not None and self.side.transport is not None:
             self.side.client = None
+            self.side.transport.unregisterProducer()
             self.side.transport.abortConnection()
         elif self.connector is not None and self.connector.state == "connecting":
             self.connector.stopConnecting()
@@ -211,6 +212,17 @@
         if side.ended:
             side.otherEnded()
 
+    def client_ended(self, rest: bytes) -> None:
+        """The client has stopped sending: so do we, and whatever end comes now is not the server's doing."""
+        self.side.last = i.CANCELLED
+        self.side.transport.write(rest)
+        self.side.halfClose()
+
+    def client_lost(self) -> None:
+        """The client's connection broke: so does its server's, which is not to be blamed for it."""
+        self.side.last = i.CANCELLED
+        self.side.transport.abortConnection()
+
     def leave(self) -> None:
         """Close after a polite move; nothing is reported any more."""
         self.reach = OVER
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -2,6 +2,7 @@
 
 import signal
 import socket
+import struct
 import time
 
 import pytest
@@ -158,6 +159,21 @@
         assert time.monotonic() - start < 1.0
 
 
+def test_a_client_that_breaks_off_is_not_held_against_its_server():
+    server = FakeServer("s1")
+    with Balancer(server, env={"LB_LOG": "debug"}.items()) as balancer:
+        for _ in range(2):
+            client = balancer.ask()
+            client.readline()
+            client.conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            client.close()
+            client.conn.close()
+        soon(lambda: server.lines[-1] == b"")
+        time.sleep(0.1)
+        log = balancer.end()
+    assert log.count("result=cancelled") == 2 and "result=reset" not in log
+
+
 def test_what_comes_with_the_receipt_and_the_end_is_passed_on_whole():
     server = FakeServer("s1", b"UP r\r\nM 1 a\r\nBYE\r\n")
     with Balancer(server) as balancer:
