Clients are sent away before the kill where connect timeouts are short; names in our words

The kill comes the longest connect timeout and 0.7 s after SIGTERM; clients were moved over 1.75 s whatever that figure is (owner.py, _stop_on). A story with 0.5 s fails without the change.

--- a/lotusroute/net/clients.py
+++ b/lotusroute/net/clients.py
@@ -94,7 +94,7 @@
 
     def __init__(self) -> None:
         self.number = 0  # of its flow; 0 while there is none
-        self.attempt = None  # the connection of its server, once the flow stands
+        self.link = None  # the connection of its server, once the flow stands
         self.answered = False
 
     def connectionMade(self) -> None:
@@ -107,8 +107,8 @@
             self.answer(BUSY)
 
     def lineReceived(self, line: memoryview) -> None:
-        if self.attempt is not None:
-            self.attempt.side.pass_on(line)
+        if self.link is not None:
+            self.link.side.pass_on(line)
         elif self.answered:
             return
         elif word(line) == PING:
@@ -135,7 +135,7 @@
 
     def lineLengthExceeded(self, line: bytes) -> None:
         self.factory.counts["malformed_lines"] += 1
-        if self.attempt is not None:
+        if self.link is not None:
             self.transport.abortConnection()
         else:
             self.answer(ERR)
@@ -148,19 +148,19 @@
         self.transport.write(words + END)
         self.halfClose()
 
-    def join(self, attempt, receipt: memoryview) -> None:
+    def join(self, link, receipt: memoryview) -> None:
         """Pass on the server's receipt and, from now on, all lines."""
         self.answered = True
         self.send(receipt)
-        self.attempt = attempt
-        attempt.join(self)
+        self.link = link
+        link.join(self)
         self.release()
         if self.ended:
-            attempt.client_ended(self.clearLineBuffer())
+            link.client_ended(self.clearLineBuffer())
 
     def move(self) -> None:
         """Send the client away, after the last whole line."""
-        self.attempt = None
+        self.link = None
         self.transport.write(MOVE + END)
         self.halfClose()
 
@@ -175,8 +175,8 @@
             self.transport.resumeProducing()
 
     def otherEnded(self) -> None:
-        if self.attempt is not None:
-            self.attempt.client_ended(self.clearLineBuffer())
+        if self.link is not None:
+            self.link.client_ended(self.clearLineBuffer())
         elif not self.number:
             self.transport.loseConnection()
         if self.number:
@@ -184,8 +184,8 @@
 
     def lost(self, clean: bool) -> None:
         self.factory.sides.discard(self)
-        if self.attempt is not None and not self.ended:
-            self.attempt.client_lost()
+        if self.link is not None and not self.ended:
+            self.link.client_lost()
         if self.number:
             self.factory.put(Left(self.number))
 
--- a/lotusroute/net/owner.py
+++ b/lotusroute/net/owner.py
@@ -1,8 +1,8 @@
 """The one owner of the decisions.
 
-Owns the Director, its clock and timers, and the state of every flow: its connect, its deadline, whether it
-is answered. Sockets only put events into its queue; it alone calls `decide` and hands out the actions. It
-must never read or write a socket itself, nor decide where a flow goes.
+Owns the Director, its clock and timers, and the state of every flow: its connect, its connect timeout,
+whether it is answered. Sockets only put events into its queue; it alone calls `decide` and hands out the
+actions. It must never read or write a socket itself, nor decide where a flow goes.
 """
 
 import math
@@ -23,8 +23,8 @@
     CONNECTING,
     STANDING,
     Answered,
-    Attempt,
     Fell,
+    Link,
     Loaded,
     Prober,
     Reported,
@@ -32,14 +32,14 @@
 )
 from lotusroute.net.startup import Posting
 
-MARGIN = 40.0  # ms before a client's deadline by which it is answered: what a busy core may hold us up
+MARGIN = 40.0  # ms before a flow's connect timeout by which it is answered: what a busy core may hold us up
 MARGIN_SHARE = 0.25  # of a short wait, which must leave time to serve
 LOOK = 1_000.0  # ms between looks at open connections; servers are judged slow by the second
 SILENT = 2_500.0  # ms without a line though one waits: sound servers answer at once, clients bear 7 s
 QUIET = 60_000.0  # ms without a line from a client, who should send one every 2 s: its machine is gone
 GOING = 2_000.0  # ms for a server to end a connection that its client has left
 RESERVE = 160  # descriptors kept from flows: discovery, probes, log, and newcomers who are told BUSY
-QUEUE = 4096  # events that may wait before newcomers are refused unseen: some 100 ms of work
+QUEUE = 4096  # events that may wait before newcomers are rejected unseen: some 100 ms of work
 AGAIN = 1_000.0  # ms before a standing connection that found no server is tried again
 STAND = 8_000.0  # ms that its server has to take it back; the start is the busiest time of all
 STAND_LONGEST = 35_000.0  # ms until it is given up; it counts as lost after 40 s
@@ -49,7 +49,7 @@
 DRAIN_SPREAD = 1_000.0  # ms over which the clients of a draining server are moved: it leaves within seconds
 STEP = 50.0  # ms between groups of clients that are moved
 STOP_STAY = 900.0  # ms that we stay at least: newcomers come for 400, and later still on a busy core
-STOP_LONGEST = 3_000.0  # ms: the longest deadline that is waited for before the kill
+STOP_LONGEST = 3_000.0  # ms: the longest connect timeout that is waited for before the kill
 STOP_REST = 350.0  # ms of the 700 beyond it after which nothing more may be in hand
 STOP_ADVICE = 400.0  # ms after which a newcomer meets the others: the front has heard by then
 
@@ -58,7 +58,7 @@
     """A connect's time is up."""
 
     number: int
-    attempt: Attempt
+    link: Link
 
 
 class Again(NamedTuple):
@@ -84,12 +84,12 @@
 class _Held:
     """A flow in hand."""
 
-    __slots__ = ("number", "opening", "due", "client", "attempt", "timer", "up", "left", "tries",
+    __slots__ = ("number", "opening", "due", "client", "link", "timer", "up", "left", "tries",
                  "began", "until")  # fmt: skip
 
     def __init__(self, number: int, opening: Opening, due: float, client: ClientSide) -> None:
         self.number, self.opening, self.due, self.client = number, opening, due, client
-        self.attempt: Attempt | None = None  # the connect in flight, or the connection; one at a time
+        self.link: Link | None = None  # the connect in flight, or the connection; one at a time
         self.timer = None
         self.up, self.left, self.tries, self.began, self.until = False, 0.0, 0, 0.0, 0.0
 
@@ -102,7 +102,7 @@
         self.director = Director(posting.vip, posting.seed)
         # Unix time, as servers' starts are told in it and balancers take turns by it, but steady.
         self.epoch = time.time() * 1000 - time.monotonic() * 1000
-        self.queue: deque = deque()  # bounded: newcomers are refused beyond QUEUE, others are few a flow
+        self.queue: deque = deque()  # bounded: newcomers are rejected beyond QUEUE, others are few a flow
         self.running = False
         self.flows: dict[int, _Held] = {}  # in hand; each leaves with its answer or its connection's end
         self.next = 0
@@ -221,30 +221,30 @@
     def _begin(self, held: _Held, server: str, until: float) -> None:
         now = held.began = self.clock()
         wait = until - now
-        attempt = held.attempt = Attempt(
+        link = held.link = Link(
             held.number, server, held.opening.rewritten(wait), self.put, self.clock, self.counts
         )
-        limit = self.posting.connect_timeout
+        limit = self.posting.come_up
         held.until = until
-        attempt.start(self.dials[server], wait < limit)
-        held.timer = self._later(min(limit, wait), Overdue(held.number, attempt))
+        link.start(self.dials[server], wait < limit)
+        held.timer = self._later(min(limit, wait), Overdue(held.number, link))
         self.counts["connects"] += 1
         if LOG.isEnabledFor(10):
             say("connect", 10, flow=held.number, server=server, wait=wait)
 
     def _answered(self, event: Answered) -> None:
         held = self.flows.get(event.number)
-        if held is None or held.attempt is not event.attempt:
+        if held is None or held.link is not event.link:
             self.counts["late_answers"] += 1
-            event.attempt.abandon()
+            event.link.abandon()
             return
         self._quiet(held)
         held.up = True
         self.counts["established"] += 1
-        server = event.attempt.server
+        server = event.link.server
         if LOG.isEnabledFor(10):
             say("up", 10, server=server, flow=held.number, ms=self.clock() - held.began)
-        held.client.join(event.attempt, event.receipt)
+        held.client.join(event.link, event.receipt)
         if server in self.draining:
             self._step_on()
         if held.opening.at:
@@ -254,26 +254,26 @@
 
     def _fell(self, event: Fell) -> None:
         held = self.flows.get(event.number)
-        if held is None or held.attempt is not event.attempt:
+        if held is None or held.link is not event.link:
             return
         self._ended(held, event.result)
 
     def _overdue(self, event: Overdue) -> None:
         """The time to come up, or all time, has passed. That comes through the queue, behind whatever the
         sockets brought while we were held up: a stall of ours must not have healthy servers set aside."""
-        held, attempt = self.flows.get(event.number), event.attempt
-        if held is None or held.attempt is not attempt or attempt.reach >= STANDING:
+        held, link = self.flows.get(event.number), event.link
+        if held is None or held.link is not link or link.reach >= STANDING:
             return
         left = held.until - self.clock()
-        if attempt.reach > CONNECTING and left > 0:
+        if link.reach > CONNECTING and left > 0:
             held.timer = self._later(left, event)
         else:
-            self._ended(held, attempt.abandon())
+            self._ended(held, link.abandon())
 
     def _ended(self, held: _Held, result: str) -> None:
         """A connect, or the connection that came of it, is over."""
         self._quiet(held)
-        server, held.attempt = held.attempt.server, None
+        server, held.link = held.link.server, None
         self.counts[f"ended_{result}"] += 1
         if LOG.isEnabledFor(10):
             say("ended", 10, flow=held.number, server=server, result=result, up=held.up)
@@ -289,7 +289,7 @@
                 self._answer(held, ERR)
         else:
             self._decide(i.Ended(held.number, server, False, result))
-            if held.attempt is None and held.number in self.flows:
+            if held.link is None and held.number in self.flows:
                 raise RuntimeError("flow left without a connect or an answer")
 
     def _left(self, event: Left) -> None:
@@ -312,7 +312,7 @@
     def _gone(self, event: Gone) -> None:
         held = self.flows.get(event.number)
         if held is not None:
-            held.attempt.abandon()
+            held.link.abandon()
             held.client.halfClose()
             self._ended(held, i.CANCELLED)
 
@@ -361,14 +361,14 @@
         self._later(LOOK, Look())
         now, silent, quiet = self.clock(), [], []
         for held in self.flows.values():
-            if not held.up or held.attempt is None:
+            if not held.up or held.link is None:
                 continue
-            waited = held.attempt.waited(now)
+            waited = held.link.waited(now)
             if waited >= self.director.slow:
-                self.delays.setdefault(held.attempt.server, []).append(waited)
-            if held.attempt.silent(now) >= SILENT:
+                self.delays.setdefault(held.link.server, []).append(waited)
+            if held.link.silent(now) >= SILENT:
                 silent.append(held)
-            elif held.attempt.quiet(now) >= QUIET:
+            elif held.link.quiet(now) >= QUIET:
                 quiet.append(held)
         for server, delays in self.delays.items():
             delay = median(delays)
@@ -387,7 +387,7 @@
         for held in silent:
             # A machine that vanished says nothing, and TCP does not notice.
             self.counts["silent"] += 1
-            held.attempt.abandon()
+            held.link.abandon()
             held.client.move()
             self._ended(held, i.RESET)
 
@@ -395,7 +395,7 @@
 
     def _connect(self, action: i.Connect) -> None:
         held = self.flows.get(action.id)
-        if held is None or held.up or held.attempt is not None:
+        if held is None or held.up or held.link is not None:
             return
         if action.server not in self.dials:
             raise RuntimeError(f"no address of {action.server}")
@@ -420,7 +420,7 @@
         if held is not None and held.up and not held.left:
             self.counts["moved"] += 1
             held.client.move()
-            held.attempt.leave()
+            held.link.leave()
             self._ended(held, i.CANCELLED)
 
     def _wake_me(self, action: i.WakeMe) -> None:
@@ -455,8 +455,8 @@
 
     def _hang_up(self, held: _Held) -> None:
         self._quiet(held)
-        if held.attempt is not None:
-            held.attempt.abandon()
+        if held.link is not None:
+            held.link.abandon()
 
     # Those who leave: a draining server, or this balancer
 
@@ -476,10 +476,10 @@
         self.stepping, now = False, self.clock()
         up = [held for held in self.flows.values() if held.up and not held.left]
         for server, until in self.draining.items():
-            self._send_away([held for held in up if held.attempt.server == server], until - now)
+            self._send_away([held for held in up if held.link.server == server], until - now)
         if self.stopping:
-            self._stop_on(now - self.stopping, [held for held in up if held.attempt is not None])
-        elif any(held.attempt.server in self.draining for held in self.flows.values() if held.attempt):
+            self._stop_on(now - self.stopping, [held for held in up if held.link is not None])
+        elif any(held.link.server in self.draining for held in self.flows.values() if held.link):
             self._step_on()
 
     def _send_away(self, up: list[_Held], left: float) -> None:
@@ -490,7 +490,8 @@
     def _stop_on(self, gone: float, up: list[_Held]) -> None:
         last = min(self.posting.longest, STOP_LONGEST) + STOP_REST
         if gone >= STOP_MOVES:
-            self._send_away(up, STOP_MOVES + STOP_SPREAD - gone)
+            # Where all connect timeouts are short the kill comes before the spread is over.
+            self._send_away(up, min(STOP_MOVES + STOP_SPREAD, last - STOP_REST) - gone)
         if gone >= last:
             for held in list(self.flows.values()):
                 self._cut(held)
@@ -502,7 +503,7 @@
     def _cut(self, held: _Held) -> None:
         if held.up:
             return
-        ran = held.attempt is not None and held.attempt.abandon() == i.TIMEOUT
+        ran = held.link is not None and held.link.abandon() == i.TIMEOUT
         kind = self.posting.vip.service_types[held.opening.service_type].kind
         self._answer(held, ERR if ran and kind != i.REPEATABLE else BUSY)
 
--- a/lotusroute/net/servers.py
+++ b/lotusroute/net/servers.py
@@ -27,7 +27,7 @@
     """A server gave its receipt for a flow."""
 
     number: int
-    attempt: "Attempt"
+    link: "Link"
     receipt: memoryview
 
 
@@ -35,7 +35,7 @@
     """A connect, or the connection that came of it, is over."""
 
     number: int
-    attempt: "Attempt"
+    link: "Link"
     result: str
 
 
@@ -68,13 +68,13 @@
         self.side = side
 
     def resumeProducing(self) -> None:
-        attempt, transport = self.side.attempt, self.side.transport
-        if attempt.reach == CONNECTING:
-            attempt.reach = WRITING
-            transport.write(attempt.line)
+        link, transport = self.side.link, self.side.transport
+        if link.reach == CONNECTING:
+            link.reach = WRITING
+            transport.write(link.line)
         else:
-            if attempt.reach == WRITING:
-                attempt.reach = WRITTEN
+            if link.reach == WRITING:
+                link.reach = WRITTEN
             transport.unregisterProducer()
 
     def stopProducing(self) -> None:
@@ -84,8 +84,8 @@
 class ServerSide(SliceReceiver):
     """The connection of one connect."""
 
-    def __init__(self, attempt: "Attempt") -> None:
-        self.attempt = attempt
+    def __init__(self, link: "Link") -> None:
+        self.link = link
         self.client = None  # where lines are passed on to, once the connection stands
         self.asked: deque[float] = deque(maxlen=UNANSWERED)  # when lines went out; each answer takes one
         self.heard = self.spoke = 0.0  # when the server's and the client's last lines came
@@ -99,37 +99,37 @@
         if self.client is None:
             self._first(line)
             return
-        self.heard = now = self.attempt.clock()
+        self.heard = now = self.link.clock()
         first = word(line)
         if first == LOAD:
             self._load(line)
         elif first in (BYE, MOVE):
             self.last = i.OK if first == BYE else i.CANCELLED
         elif self.asked:
-            self.attempt.put(Timed(self.attempt.server, now - self.asked.popleft()))
+            self.link.put(Timed(self.link.server, now - self.asked.popleft()))
         self.client.send(line)
 
     def _first(self, line: memoryview) -> None:
-        first, attempt = word(line), self.attempt
-        if first == UP and attempt.reach < OVER:
+        first, link = word(line), self.link
+        if first == UP and link.reach < OVER:
             # Lines that come with the receipt wait until the client's side takes them.
             self.held = True
-            attempt.reach = STANDING
+            link.reach = STANDING
             self.last = i.RESET
-            attempt.put(Answered(attempt.number, attempt, line))
+            link.put(Answered(link.number, link, line))
         else:
-            attempt.fell({BUSY: i.FULL, MOVE: i.CANCELLED}.get(first, i.ERROR))
+            link.fell({BUSY: i.FULL, MOVE: i.CANCELLED}.get(first, i.ERROR))
             self.transport.abortConnection()
 
     def _load(self, line: memoryview) -> None:
         try:
-            self.attempt.put(Loaded(self.attempt.number, number(str(line[len(LOAD):], "ascii").strip())))
+            self.link.put(Loaded(self.link.number, number(str(line[len(LOAD):], "ascii").strip())))
         except (Malformed, UnicodeDecodeError):
-            self.attempt.counts["loads_unread"] += 1
+            self.link.counts["loads_unread"] += 1
 
     def pass_on(self, line: memoryview) -> None:
         """Take a client's line."""
-        self.spoke = self.attempt.clock()
+        self.spoke = self.link.clock()
         self.asked.append(self.spoke)
         self.send(line)
 
@@ -138,22 +138,22 @@
             # A line without its ending is passed on as it is: nothing more will come.
             self.client.transport.write(self.clearLineBuffer())
             self.client.halfClose()
-            self.attempt.fell(self.last)
-        elif self.attempt.reach < STANDING:
-            self.attempt.fell(self.attempt.broken())
+            self.link.fell(self.last)
+        elif self.link.reach < STANDING:
+            self.link.fell(self.link.broken())
             self.transport.abortConnection()
 
     def lost(self, clean: bool) -> None:
         if self.client is not None and not self.ended:
             self.client.transport.abortConnection()
-        self.attempt.fell(self.last if self.client is not None else self.attempt.broken())
+        self.link.fell(self.last if self.client is not None else self.link.broken())
 
     def lineLengthExceeded(self, line: bytes) -> None:
-        self.attempt.fell(i.ERROR if self.client is None else i.RESET)
+        self.link.fell(i.ERROR if self.client is None else i.RESET)
         self.transport.abortConnection()
 
 
-class Attempt(ClientFactory):
+class Link(ClientFactory):
     """One connect of one flow to one server, and the connection that comes of it."""
 
     noisy = False
--- a/lotusroute/net/startup.py
+++ b/lotusroute/net/startup.py
@@ -13,7 +13,8 @@
 from lotusroute.vip import vip as decode_vip
 
 SOCKETS = 1024.0  # descriptors, where no limit is told: what a process usually may hold
-CONNECT_TIMEOUT = 250.0  # ms for a connection to come up, where none is told: a far site and one lost packet
+COME_UP = 250.0  # ms for a connection to come up, where none is told: a far site and one lost packet
+LONGEST = 3_000.0  # ms, the connect timeout of a service type for which none is told
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
@@ -27,7 +28,7 @@
     sockets: int
     known: dict  # the server list as last held, in discovery's form
     vip: Vip
-    connect_timeout: float  # for a connection to a server to come up
+    come_up: float  # ms for a connection to a server to come up
     longest: float  # connect timeout of the most patient service type
     log_level: str
 
@@ -98,8 +99,8 @@
         known=known,
         # The protocol has no messages between balancers, and no frame in which a server says it is slow.
         vip=vip._replace(peers=False, tells_delay=False),
-        connect_timeout=figure("settings.limits.connect_timeout", env.get("limits.connect_timeout"),
-                               CONNECT_TIMEOUT),
-        longest=max(figure(f"settings.{path}", env.get(path), 1.0) for path in deadlines),
+        come_up=figure("settings.limits.connect_timeout", env.get("limits.connect_timeout"),
+                       COME_UP),
+        longest=max(figure(f"settings.{path}", env.get(path), LONGEST) for path in deadlines),
         log_level=level,
     )  # fmt: skip
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -135,6 +135,17 @@
         assert balancer.process.returncode == 0
 
 
+def test_with_short_connect_timeouts_all_are_sent_away_before_the_kill():
+    kinds = [{"name": "live", "setup_target": 100, "deadline": 500}]
+    with Balancer(FakeServer("s1"), settings={**SETTINGS, "service_types": kinds}) as balancer:
+        clients = [balancer.ask(str(at), wait=500) for at in range(20)]
+        assert {client.readline() for client in clients} == {b"UP r1\r\n"}
+        start = time.monotonic()
+        balancer.end(signal.SIGTERM)
+        assert time.monotonic() - start < 1.2  # 0.5 s, and 0.7 s until it is killed
+        assert {client.readline() for client in clients} == {b"MOVE\r\n"}
+
+
 def test_a_flow_in_hand_at_the_stop_is_finished_and_then_moved():
     server = FakeServer("s1", None)
     with Balancer(server) as balancer:
