--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -48,6 +48,7 @@
 HOT_FOR = 2_500.0  # ms: two and a half of the notes that come once a second
 NOTED_FOR = 8_000.0  # ms: a server says when its messages are well again, but only over own connections
 SLOWER = 1.6  # times the others' median set-up: an overdriven server took 1.5 to 4, chance seldom does twice
+SETUP_GAIN = 0.3  # share: set-ups anywhere are averaged over three, so that a crowd shows before it is blamed
 PATIENCE = 2.0  # setup targets: how long one connect may take while others could follow
 FAILING = 0.5  # failed connects per one that stands: as many as a cut zone brings, more and flows wait
 SPARE = 4.0  # failed connects: so few say nothing yet
@@ -125,13 +126,12 @@
         self.tags: dict[bytes, _Host] = {}  # hosts by their short name in messages; as many as hosts
         self.ticks = 0
         self.one = 0.01  # load of one connection, as the fleet's load and own connections tell
-        self.usual = 0.0  # ms that set-ups take, over all servers
         self.probes_due = self.bytes_due = 0.0
         self.ring = vip.me / vip.siblings  # where in the fleet the next own probe goes, 0 to 1
         self.depth = DEPTH  # of spilling, by the last tick's look at the fleet
         self.failed = self.stood = 0.0  # connects that failed (or were not made) and that stood
         self.arrived = self.asked = 0  # since the last tick: first arrivals, and all flows
-        self.rate = self.asks = 0.0  # the same a tick
+        self.rate = self.asks = self.usual = 0.0  # the same a tick; ms that set-ups take lately, anywhere
         self.subscribed, self.refusals, self.ask_at = False, 0, 0.0
 
     def decide(self, now: float, event: i.Event) -> list[i.Action]:
@@ -400,11 +400,11 @@
         """Where no server tells that its messages are slow, one stood overdriven beside idle ones for 15 s.
         Its set-ups took two to four times the others'. A crowd slows them too: the pace is mild and short."""
         host.bad *= 0.5
-        self.usual += RATE_GAIN * (took - self.usual) if self.usual else took
-        host.setup = ((host.setup or self.usual) + took) / 2
-        told = self.vip.tells_delay or host.load is not None
-        others = sorted(h.setup or self.usual for h in self.ready if not told and h is not host)
-        if others and min(took, host.setup) > SLOWER * others[len(others) // 2] and not self._cold(host):
+        self.usual = (usual := self.usual or took) + SETUP_GAIN * (took - usual)
+        host.setup = ((host.setup or usual) + took) / 2
+        told = self.vip.tells_delay or host.load is not None or self._cold(host)
+        others = sorted(h.setup or usual for h in self.ready if not told and h is not host)
+        if others and min(took, host.setup) > SLOWER * max(usual, others[len(others) // 2]):
             host.hot = max(host.hot, self.now + HOT_FOR)
             self._weaken(host, HOT_FOR)
 
