SIGHUP reads the file anew and follows discovery at its new address

No handler stood for SIGHUP (lotusroute/__main__.py), so its default ended the program. Discovery is one object an address, closed when the file names another; the file goes before the environment when read anew.

--- a/lotusroute/__main__.py
+++ b/lotusroute/__main__.py
@@ -1,8 +1,9 @@
-"""Starts one balancer: reads what it is told, opens its sockets, ends in order.
+"""Starts one balancer: reads what it is told, opens its sockets, reads anew, ends in order.
 
 Owns the order of the start and of the end, and the signals. It must never hold state of a flow.
 """
 
+import logging
 import os
 import signal
 import sys
@@ -37,8 +38,8 @@
     except error.CannotListenError as fault:
         print(f"lotusroute: LB_LISTEN: {fault}", file=sys.stderr)
         return 2
-    discovery = Discovery(posting.discovery, posting.seed, owner.put, counts)
-    reactor.callWhenRunning(lambda: defer.ensureDeferred(discovery.follow()))
+    standing = Standing(posting, owner, clients, counts)
+    reactor.callWhenRunning(standing.follow)
 
     def finish() -> None:
         if reactor.running:
@@ -46,12 +47,47 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(owner.stop, finish))
+    # The default end on SIGHUP cut off every client when only the address of discovery had changed.
+    signal.signal(signal.SIGHUP, lambda *_: reactor.callFromThread(standing.read_anew))
     signal.signal(signal.SIGUSR1, lambda *_: reactor.callFromThread(counts.print))
     reactor.run(installSignalHandlers=False)
     counts.print()
     return 0
 
 
+class Standing:
+    """What the running balancer was last told, and the discovery that it follows by it."""
+
+    def __init__(self, posting: startup.Posting, owner: Owner, clients: Clients, counts: log.Counts) -> None:
+        self.first = self.posting = posting
+        self.owner, self.clients, self.counts = owner, clients, counts
+        self.discovery: Discovery | None = None
+
+    def follow(self) -> None:
+        """Follow discovery from the beginning, at the address last told."""
+        if self.discovery is not None:
+            self.discovery.close()
+        self.discovery = Discovery(self.posting.discovery, self.posting.seed, self.owner.put, self.counts)
+        defer.ensureDeferred(self.discovery.follow())
+
+    def read_anew(self) -> None:
+        """Read the file again; open flows and all that the decisions know stay as they are."""
+        self.counts["reloads"] += 1
+        try:
+            new = startup.read(os.environ, anew=True)
+        except Malformed as fault:
+            # A file that was spoilt must not end a balancer that serves.
+            log.say("reload refused", logging.WARNING, why=str(fault))
+            return
+        old, self.posting = self.posting, new
+        self.owner.allow(new.sockets)
+        self.clients.allow(new.sockets)
+        if new.discovery != old.discovery:
+            self.follow()
+        restart = ",".join(startup.needing_restart(self.first, new)) or "nothing"
+        log.say("reloaded", discovery=new.discovery[0], sockets=new.sockets, needs_restart=restart)
+
+
 def _remembered(posting: startup.Posting):
     try:
         return listed(posting.known, interface.REMEMBERED)
--- a/lotusroute/net/clients.py
+++ b/lotusroute/net/clients.py
@@ -198,9 +198,14 @@
 
     def __init__(self, put: Callable, clock: Callable, ready: Callable, sockets: int, counts) -> None:
         self.put, self.clock, self.ready, self.counts = put, clock, ready, counts
-        self.most = max(1, sockets - SPARE)
+        self.most = 1
+        self.allow(sockets)
         self.sides: set[ClientSide] = set()  # open connections; each leaves as it is lost
 
+    def allow(self, sockets: int) -> None:
+        """Take connections for so many descriptors."""
+        self.most = max(1, sockets - SPARE)
+
     def full(self) -> bool:
         """Whether hardly a descriptor is left, at up to two for a connection."""
         return len(self.sides) + sum(side.number > 0 for side in self.sides) > self.most
--- a/lotusroute/net/discovery.py
+++ b/lotusroute/net/discovery.py
@@ -1,10 +1,11 @@
 """The server list.
 
-Owns the calls to discovery: the whole list once, then one watch after the other, without a gap, and the
-back-off when it fails or is silent. It must never decide what a list means for a flow, hold the start up,
-or act on an answer that is not a list.
+Owns the calls to discovery at one address: the whole list once, then one watch after the other, without a
+gap, and the back-off when it fails or is silent. It must never decide what a list means for a flow, hold the
+start up, act on an answer that is not a list, or tell anything once it is closed.
 """
 
+import contextlib
 import json
 import random
 from collections.abc import Callable
@@ -68,14 +69,27 @@
         self.base = f"http://{where[0]}:{where[1]}/api/targets"
         self.put, self.counts = put, counts
         self.chance = random.Random(seed)
-        self.agent = Agent(reactor, connectTimeout=PATIENCE, pool=HTTPConnectionPool(reactor))
+        self.pool = HTTPConnectionPool(reactor)
+        self.agent = Agent(reactor, connectTimeout=PATIENCE, pool=self.pool)
         self.seq: int | None = None  # None: the whole list is needed
+        self.waiting: defer.Deferred | None = None  # the call or the pause in hand
+        self.closed = False
+
+    def close(self) -> None:
+        """Drop the call in hand and the connections: discovery has another address now."""
+        self.closed = True
+        if self.waiting is not None:
+            self.waiting.cancel()
+        self.pool.closeCachedConnections()
 
     async def follow(self) -> None:
-        """Go on for as long as the balancer runs."""
+        """Go on until closed, or for as long as the balancer runs."""
         pause = FIRST_PAUSE
-        while True:
+        while not self.closed:
             news = await self._call()
+            if self.closed:
+                # What the old address still told is not put behind news from the new one.
+                return
             if isinstance(news, Listed):
                 pause = FIRST_PAUSE
                 if news.servers or news.scope == i.WHOLE:
@@ -84,7 +98,9 @@
             self.counts["discovery_failed"] += 1
             if pause == FIRST_PAUSE:
                 say("discovery failed", reached=news.reached, why=news.why)
-            await task.deferLater(reactor, pause * self.chance.uniform(0.5, 1.0), lambda: None)
+            self.waiting = task.deferLater(reactor, pause * self.chance.uniform(0.5, 1.0))
+            with contextlib.suppress(defer.CancelledError):
+                await self.waiting
             pause = min(2 * pause, LONGEST_PAUSE)
 
     async def _call(self) -> Listed | Failed:
@@ -95,9 +111,9 @@
         reached = CALL
         self.counts["discovery_calls"] += 1
         try:
-            answer = await _within(self.agent.request(b"GET", url.encode()), wait)
+            answer = await self._within(self.agent.request(b"GET", url.encode()), wait)
             reached = ANSWER
-            body = await _within(readBody(answer), PATIENCE)
+            body = await self._within(readBody(answer), PATIENCE)
             reached = BODY
             if answer.code != 200:
                 self.seq = None
@@ -112,6 +128,6 @@
         except Exception as fault:  # the HTTP client has dozens, and none may stop the following
             return Failed(reached, f"{type(fault).__name__}: {fault}"[:200])
 
-
-def _within(deferred: defer.Deferred, seconds: float) -> defer.Deferred:
-    return deferred.addTimeout(seconds, reactor)
+    def _within(self, deferred: defer.Deferred, seconds: float) -> defer.Deferred:
+        self.waiting = deferred.addTimeout(seconds, reactor)
+        return deferred
--- a/lotusroute/net/owner.py
+++ b/lotusroute/net/owner.py
@@ -110,7 +110,8 @@
         self.probers: dict[str, Prober] = {}  # leave with their server
         self.delays: dict[str, list[float]] = {}  # answers timed since the last look, which empties it
         self.slow: set[str] = set()  # servers noted as slow; leave when noted as well again, or gone
-        self.room = max(1, (posting.sockets - RESERVE) // 2)
+        self.room = 1
+        self.allow(posting.sockets)
         self.draining: dict[str, float] = {}  # when their clients shall be gone; leave by the list
         self.stepping = False
         self.stopping = 0.0
@@ -125,6 +126,10 @@
         """Whether flows can be taken."""
         return bool(self.dials) and not self.stopping
 
+    def allow(self, sockets: int) -> None:
+        """Take flows for so many descriptors."""
+        self.room = max(1, (sockets - RESERVE) // 2)
+
     # The queue
 
     def put(self, event: object) -> None:
--- a/lotusroute/net/startup.py
+++ b/lotusroute/net/startup.py
@@ -1,4 +1,4 @@
-"""What a balancer is told at its start.
+"""What a balancer is told at its start, and anew while it runs.
 
 Owns the LB_* variables and the file that LB_CONFIG names: the one place where they are read, checked and
 given defaults. It must never open a socket, and nothing else may look at the environment.
@@ -16,6 +16,8 @@
 COME_UP = 250.0  # ms for a connection to come up, where none is told: a far site and one lost packet
 LONGEST = 3_000.0  # ms, the connect timeout of a service type for which none is told
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+APPLIED = {"discovery", "sockets"}  # what a running balancer takes over; the rest needs a restart
+FRESH = {"seed", "known"}  # new at each start, and nothing to one that runs
 
 
 class Posting(NamedTuple):
@@ -45,8 +47,12 @@
     return host, int(port)
 
 
-def read(environ: Mapping[str, str]) -> Posting:
-    """Read all that the balancer is told; a key that is missing or bad is named."""
+def read(environ: Mapping[str, str], anew: bool = False) -> Posting:
+    """Read all that the balancer is told; a key that is missing or bad is named.
+
+    Read `anew`, the file goes before the environment: that is still the one of the start, and following its
+    address of discovery after the file has named another left a balancer with a list that nobody renews.
+    """
     path = environ.get("LB_CONFIG")
     if not path:
         raise Malformed("LB_CONFIG: not set")
@@ -60,7 +66,8 @@
     env = dict(flatten(told.get("settings") or {}))
 
     def text(key: str) -> str:
-        value = environ.get(f"LB_{key.upper()}") or told.get(key)
+        said = environ.get(f"LB_{key.upper()}"), told.get(key)
+        value = (said[1] or said[0]) if anew else (said[0] or said[1])
         if not isinstance(value, str):
             raise Malformed(f"LB_{key.upper()}: not set, and no {key} in LB_CONFIG")
         return value
@@ -104,3 +111,9 @@
         longest=max(figure(f"settings.{path}", env.get(path), LONGEST) for path in deadlines),
         log_level=level,
     )  # fmt: skip
+
+
+def needing_restart(old: Posting, new: Posting) -> list[str]:
+    """Name what has changed and cannot be taken over by a balancer that runs."""
+    changed = (name for name in Posting._fields if getattr(old, name) != getattr(new, name))
+    return [name for name in changed if name not in APPLIED | FRESH]
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -142,25 +142,31 @@
         pass
 
 
+def discovery(*servers, listed=True):
+    """A discovery that serves on a free port."""
+    fleet = http.server.ThreadingHTTPServer(("127.0.0.1", 0), FakeList)
+    fleet.daemon_threads = True
+    fleet.entries, fleet.seq = [s.entry() for s in servers], int(listed)
+    threading.Thread(target=fleet.serve_forever, daemon=True).start()
+    return fleet
+
+
 class Balancer:
     """The program itself, its discovery and its clients."""
 
     def __init__(self, *servers, settings=SETTINGS, sockets=1024, listed=True, env=()):
-        self.list = http.server.ThreadingHTTPServer(("127.0.0.1", 0), FakeList)
-        self.list.daemon_threads = True
-        self.list.entries, self.list.seq = [s.entry() for s in servers], int(listed)
-        threading.Thread(target=self.list.serve_forever, daemon=True).start()
+        self.list = discovery(*servers, listed=listed)
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
-        told = {"name": "n1", "listen": f"127.0.0.1:{self.port}", "seed": "5eed", "settings": settings,
-                "discovery": f"127.0.0.1:{self.list.server_port}", "limits": {"sockets": sockets},
-                "known": {"seq": 0, "whole": True, "hosts": [s.entry() for s in servers]}}  # fmt: skip
+        self.told = {"name": "n1", "listen": f"127.0.0.1:{self.port}", "seed": "5eed", "settings": settings,
+                     "discovery": f"127.0.0.1:{self.list.server_port}", "limits": {"sockets": sockets},
+                     "known": {"seq": 0, "whole": True, "hosts": [s.entry() for s in servers]}}  # fmt: skip
         self.folder = tempfile.TemporaryDirectory()
-        file = pathlib.Path(self.folder.name, "config.json")
-        file.write_text(json.dumps(told))
+        self.file = pathlib.Path(self.folder.name, "config.json")
+        self.file.write_text(json.dumps(self.told))
         self.process = subprocess.Popen(
             [sys.executable, "-m", "lotusroute"], stderr=subprocess.PIPE, text=True,
-            env={**os.environ, "LB_CONFIG": str(file), **dict(env)},
+            env={**os.environ, "LB_CONFIG": str(self.file), **dict(env)},
         )  # fmt: skip
 
     def __enter__(self):
@@ -188,6 +194,12 @@
         pairs = {"c": "live", "d": wait, **more}
         return self.say(f"OPEN id {key} {','.join(f'{k}={v}' for k, v in pairs.items())}".encode())
 
+    def reload(self, text=None, **changes):
+        """Replace the file and tell the program."""
+        self.told.update(changes)
+        self.file.write_text(json.dumps(self.told) if text is None else text)
+        self.process.send_signal(signal.SIGHUP)
+
     def end(self, number=signal.SIGKILL):
         """Signal the program and return its log."""
         if self.process.poll() is None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,12 +1,13 @@
 """Stories of the balancer on loopback sockets: one for each failure met or to be kept out."""
 
+import json
 import signal
 import socket
 import struct
 import time
 
 import pytest
-from fakehost import SETTINGS, Balancer, FakeServer, soon
+from fakehost import SETTINGS, Balancer, FakeServer, discovery, soon
 
 from lotusroute import interface
 from lotusroute.net import startup
@@ -246,6 +247,47 @@
         assert sent < 32_000_000 and balancer.ask("other").readline() == b"UP r1\r\n"
 
 
+def test_a_new_address_of_discovery_is_followed_at_once_though_the_environment_says_the_old_one():
+    one, two = FakeServer("s1", b"UP one\r\n"), FakeServer("s2", b"UP two\r\n")
+    old, new = discovery(one), discovery(two)
+    where = f"127.0.0.1:{old.server_port}"
+    with Balancer(one, env={"LB_DISCOVERY": where}.items()) as balancer:
+        client = balancer.ask()
+        assert client.readline() == b"UP one\r\n"
+        old.seq = 0  # the call in hand hangs, as after failures a pause would
+        time.sleep(0.2)
+        start = time.monotonic()
+        balancer.reload(discovery=f"127.0.0.1:{new.server_port}")
+        soon(lambda: balancer.ask().readline() == b"UP two\r\n")
+        assert time.monotonic() - start < 1.0
+        client.write(b"M 1 a\r\n")
+        assert client.readline() == b"M 1 a\r\n"
+        # Back to the first, whose versions begin anew, then two signals on end and one while it stops.
+        old.entries, old.seq = [one.entry()], 1
+        balancer.reload(discovery=where)
+        balancer.reload(discovery=where)
+        soon(lambda: balancer.ask().readline() == b"UP one\r\n")
+        balancer.process.send_signal(signal.SIGTERM)
+        balancer.reload()
+        balancer.end(signal.SIGTERM)
+        assert balancer.process.returncode == 0
+
+
+def test_a_spoilt_file_is_refused_with_its_key_and_what_needs_a_restart_is_named():
+    with Balancer(FakeServer("s1"), sockets=164) as balancer:
+        clients = [balancer.ask(str(at)) for at in range(2)]
+        assert {client.readline() for client in clients} == {b"UP r1\r\n"}
+        for text in ("{", json.dumps({**balancer.told, "discovery": "nowhere"})):
+            balancer.reload(text)
+            time.sleep(0.2)
+        assert balancer.ask().readline() == b"BUSY 1000\r\n"
+        balancer.reload(name="n2", limits={"sockets": 1024})
+        soon(lambda: balancer.ask().readline() == b"UP r1\r\n")
+        log = balancer.end()
+    assert log.count('event="reload refused" why="LB_CONFIG: ') == 1
+    assert "LB_DISCOVERY: 'nowhere' is not host:port" in log and "needs_restart=name" in log
+
+
 @pytest.mark.parametrize("key, told", [
     ("LB_CONFIG", None), ("LB_LISTEN", {"listen": "here"}), ("LB_DISCOVERY", {"discovery": "1.2.3.4:99999"}),
     ("LB_NAME", {"name": 7}), ("limits.sockets", {"limits": {"sockets": "many"}}),
@@ -257,7 +299,7 @@
     good = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": SETTINGS}
     file = tmp_path / "told.json"
     if told is not None:
-        file.write_text(__import__("json").dumps({**good, **told}))
+        file.write_text(json.dumps({**good, **told}))
     with pytest.raises(Malformed, match=f"^{key}"):
         startup.read({"LB_CONFIG": str(file)})
 
