The program ends only after the last MOVE is written and read

A run with a log of each flow: the last MOVE and the counters of the exit bear one time (14.89 s) at both restarts; the connection named first in the report is that last one. Ruled out: half-closed sides, waiting buffers, paused readers (logged at each MOVE: none). At fault: Owner._stop_on called stopped() in the very step in which _send_away had moved the last clients, so the reactor closed their sockets before the MOVE was written. The story of 15 clients fails without the change.

--- a/lotusroute/net/owner.py
+++ b/lotusroute/net/owner.py
@@ -51,6 +51,7 @@
 STOP_STAY = 900.0  # ms that we stay at least: newcomers come for 400, and later still on a busy core
 STOP_LONGEST = 3_000.0  # ms: the longest connect timeout that is waited for before the kill
 STOP_REST = 350.0  # ms of the 700 beyond it after which nothing more may be in hand
+STOP_FLUSH = 200.0  # ms between the last answer and the end, in which it is written and read
 STOP_ADVICE = 400.0  # ms after which a newcomer meets the others: the front has heard by then
 
 
@@ -115,6 +116,7 @@
         self.draining: dict[str, float] = {}  # when their clients shall be gone; leave by the list
         self.stepping = False
         self.stopping = 0.0
+        self.busy = 0.0  # ms after the order to stop when flows were last in hand
         self.stopped = None  # called when all are gone
         self._later(LOOK, Look())
 
@@ -500,7 +502,10 @@
         if gone >= last:
             for held in list(self.flows.values()):
                 self._cut(held)
-        if gone >= last + STEP or (gone >= STOP_STAY and not self.flows):
+        if up or self.flows:
+            # Ending in the step that moved the last clients cut them off: their MOVE was never written.
+            self.busy = gone
+        if gone >= last + STOP_FLUSH or gone >= max(STOP_STAY, self.busy + STOP_FLUSH):
             self.stopped()
         else:
             self._step_on()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -136,6 +136,15 @@
         assert balancer.process.returncode == 0
 
 
+def test_the_last_client_moved_before_the_end_reads_its_move():
+    with Balancer(FakeServer("s1")) as balancer:
+        clients = [balancer.ask(str(at)) for at in range(15)]
+        assert {client.readline() for client in clients} == {b"UP r1\r\n"}
+        balancer.process.send_signal(signal.SIGTERM)
+        assert {client.readline() for client in clients} == {b"MOVE\r\n"}
+        assert balancer.end(0) is not None and balancer.process.returncode == 0
+
+
 def test_with_short_connect_timeouts_all_are_sent_away_before_the_kill():
     kinds = [{"name": "live", "setup_target": 100, "deadline": 500}]
     with Balancer(FakeServer("s1"), settings={**SETTINGS, "service_types": kinds}) as balancer:
