Strict first lines, copied ids refused, silent connections end first, bytes bounded

Checked with each first line logged: bad clients send ids of other clients' flows (all 70), half lines, one PING and silence (1,152), 'k' without end; usual ones send d up to 4294967 for standing connections. Servers answer ERR to a copied id, up to four for each, and were set aside for it. Ruled out: answers in time, none was missing (808 owed, 0 left). At fault: Owner._asked took any id; ClientSide waited 30 s for a line, anew after each PING; full() counted silent connections like flows; dataReceived kept what came after the answer; RESERVE and SPARE were fixed, so that 256 descriptors left room for 48 flows.

--- a/lotusroute/__main__.py
+++ b/lotusroute/__main__.py
@@ -12,7 +12,7 @@
 
 from lotusroute import interface
 from lotusroute.net import log, startup
-from lotusroute.net.clients import Clients
+from lotusroute.net.clients import Clients, Door
 from lotusroute.net.discovery import Discovery, listed
 from lotusroute.net.owner import Owner
 from lotusroute.vip import Malformed
@@ -34,7 +34,7 @@
     owner.put(remembered)
     clients = Clients(owner.put, owner.clock, owner.ready, posting.sockets, counts)
     try:
-        reactor.listenTCP(posting.listen[1], clients, backlog=BACKLOG, interface=posting.listen[0])
+        Door(posting.listen[1], clients, BACKLOG, posting.listen[0], reactor).startListening()
     except error.CannotListenError as fault:
         print(f"lotusroute: LB_LISTEN: {fault}", file=sys.stderr)
         return 2
@@ -80,7 +80,7 @@
             log.say("reload refused", logging.WARNING, why=str(fault))
             return
         old, self.posting = self.posting, new
-        self.owner.allow(new.sockets)
+        self.owner.allow(new)
         self.clients.allow(new.sockets)
         if new.discovery != old.discovery:
             self.follow()
--- a/lotusroute/net/clients.py
+++ b/lotusroute/net/clients.py
@@ -1,26 +1,39 @@
 """The side of the clients.
 
 Owns every connection that a client or the front opens, from its first line to its close: what the line
-says, the one answer, and the passing on of lines once the flow stands. It must never choose a server,
-answer a flow on its own account once the owner has it, or hold a client's line back.
+says, the one answer, the passing on of lines once the flow stands, and who goes when descriptors run short.
+It must never choose a server, answer a flow on its own account once the owner has it, hold a client's line
+back, or spend on a connection that asks for nothing what those that ask need.
 """
 
+import re
 from collections.abc import Callable
 from typing import NamedTuple
 
+from twisted.internet import error, tcp
 from twisted.internet.protocol import ServerFactory
+from twisted.python.failure import Failure
 
-from lotusroute.net.lines import BUSY, END, ERR, MOVE, OPEN, PING, PONG, SliceReceiver, word
-from lotusroute.vip import Malformed, number
+from lotusroute.net.lines import BUSY, END, ERR, MOVE, PING, PONG, SliceReceiver
+from lotusroute.vip import Malformed
 
-FIRST_LINE = 30.0  # s for a connection to say something; a front's checks come oftener
-SPARE = 48  # descriptors that clients never get: discovery, probes, the log, the reactor's own
+FIRST_LINE = 2.0  # s from connecting to a whole first line, however it trickles; a close is owed within 3
+CHECKS = 16  # PINGs on one connection; a front sends one, and those that send them without end cost our core
 LINGER = 1.0  # s for the other end to close after our last line; the protocol wants ends within a second
+DROPPED = 16_384  # bytes read and dropped after our last line; one who sends 60 MB is then read no more
+ACCEPTS = 16  # connections taken in between two looks at all others, so that a flood shares the core
+OWN = 16, 32  # part of the descriptors, and the least, kept for discovery, probes, the log, the reactor's own
+
+# A first line as the protocol has it: what a server could not use must never reach one.
+ASK = re.compile(rb"OPEN ([0-9A-Za-z][0-9A-Za-z_.:-]{0,63}) ([!-~]{1,256}) ([!-~]+)\r\n")
+PAIR = re.compile(rb"([A-Za-z][0-9A-Za-z_]{0,31})=([!-+\--~]*)")
+WAIT = re.compile(rb"[0-9]{1,7}(\.[0-9]{1,9})?")  # under three hours; standing connections say 4294967
 
 
 class Opening(NamedTuple):
     """What a client's first line asks for; `line` is that line around the figure of `d`."""
 
+    id: str
     service_type: str
     tenant: str | None
     group: str | None
@@ -60,31 +73,27 @@
     >>> opening(b"OPEN 9b1f 7f3a c=chat,t=acme,d=2000,g=5c0f" + END).rewritten(1500.0)
     b'OPEN 9b1f 7f3a c=chat,t=acme,d=1500,g=5c0f\\r\\n'
     """
-    try:
-        parts = line[: -len(END)].decode("ascii").split(" ")
-    except UnicodeDecodeError:
-        raise Malformed("not ASCII") from None
-    if len(parts) != 4 or not parts[1] or not parts[2]:
-        raise Malformed(f"{len(parts)} words, not OPEN, id, key and a list")
-    said, start = {}, len(line) - len(END) - len(parts[3])
-    figure = None
-    for pair in parts[3].split(","):
-        name, equals, value = pair.partition("=")
-        if not equals or name in said:
-            raise Malformed(f"'{pair[:40]}' is no pair, or one too many")
-        said[name] = value
-        if name == "d":
-            figure = start + len("d="), start + len(pair)
-        start += len(pair) + 1
-    if figure is None or "c" not in said:
-        raise Malformed("no c or no d")
-    wait = number(said["d"])
-    if wait <= 0:
-        raise Malformed(f"d={said['d'][:40]} leaves no time")
-    key = None if parts[2] == "-" else parts[2]
-    returned = said.get("r") == "1" or said.get("again") == "1"
-    return Opening(said["c"], said.get("t"), said.get("g"), key, wait, returned, said.get("at"),
-                   (line[: figure[0]], line[figure[1]:]))  # fmt: skip
+    asked = ASK.fullmatch(line)
+    if asked is None:
+        raise Malformed("not OPEN, id, key and a list")
+    said, figure, start = {}, (0, 0), asked.start(3)
+    for text in asked[3].split(b","):
+        pair = PAIR.fullmatch(text)
+        if pair is None or pair[1] in said:
+            raise Malformed("no pair, or one too many")
+        said[pair[1]] = pair[2].decode()
+        if pair[1] == b"d":
+            if not WAIT.fullmatch(pair[2]):
+                raise Malformed("d is no time")
+            figure = start + len(b"d="), start + len(text)
+        start += len(text) + 1
+    wait = float(said.get(b"d", 0))
+    if wait <= 0 or not said.get(b"c"):
+        raise Malformed("no c, or no time in d")
+    key = None if asked[2] == b"-" else asked[2].decode()
+    returned = said.get(b"r") == "1" or said.get(b"again") == "1"
+    return Opening(asked[1].decode(), said[b"c"], said.get(b"t"), said.get(b"g"), key, wait, returned,
+                   said.get(b"at"), (line[: figure[0]], line[figure[1]:]))  # fmt: skip
 
 
 class ClientSide(SliceReceiver):
@@ -95,50 +104,60 @@
     def __init__(self) -> None:
         self.number = 0  # of its flow; 0 while there is none
         self.link = None  # the connection of its server, once the flow stands
-        self.answered = False
+        self.answered = self.gone = False
+        self.checks = self.dropped = 0
 
     def connectionMade(self) -> None:
         super().connectionMade()
-        self.factory.sides.add(self)
+        # Never set anew before the first line: trickling must not keep a descriptor.
         self.setTimeout(FIRST_LINE)
-        if self.factory.full():
-            # Accepting until no descriptor is left would lose flows unanswered.
-            self.factory.counts["turned_away"] += 1
-            self.answer(BUSY)
+        self.factory.take_in(self)
+
+    def dataReceived(self, data: bytes) -> None:
+        if self.link is None and self.answered:
+            # Nobody is left to read this; kept, it grew to 60 MB, copied with each read.
+            self.dropped += len(data)
+            if self.dropped > DROPPED:
+                self.transport.pauseProducing()
+            return
+        super().dataReceived(data)
 
     def lineReceived(self, line: memoryview) -> None:
         if self.link is not None:
             self.link.side.pass_on(line)
         elif self.answered:
             return
-        elif word(line) == PING:
-            self.resetTimeout()
+        elif line == PING + END and self.checks < CHECKS:
+            self.checks += 1
             self.transport.write((PONG if self.factory.ready() else BUSY) + END)
         else:
             self._open(line)
 
     def _open(self, line: memoryview) -> None:
         now, factory = self.factory.clock(), self.factory
-        # Lines that a hasty client sends before its answer wait for the server's side.
-        self.held = True
-        self.setTimeout(None)
         try:
-            if word(line) != OPEN:
-                raise Malformed("neither OPEN nor PING")
             asked = Asked(self, opening(bytes(line)), now)
         except Malformed:
-            factory.counts["malformed_lines"] += 1
-            self.answer(ERR)
+            self.refuse()
             return
+        # Lines that a hasty client sends before its answer wait for the server's side.
+        self.held = True
+        self.setTimeout(None)
+        factory.idle.pop(self, None)
         factory.counts["flows"] += 1
         factory.put(asked)
 
-    def lineLengthExceeded(self, line: bytes) -> None:
+    def refuse(self) -> None:
+        """Answer what cannot be read or used."""
         self.factory.counts["malformed_lines"] += 1
+        self.answer(ERR)
+
+    def lineLengthExceeded(self, line: bytes) -> None:
         if self.link is not None:
+            self.factory.counts["malformed_lines"] += 1
             self.transport.abortConnection()
         else:
-            self.answer(ERR)
+            self.refuse()
 
     def answer(self, words: bytes) -> None:
         """Write the one final line, then close."""
@@ -166,6 +185,8 @@
 
     def halfClose(self) -> None:
         super().halfClose()
+        self._buffer = b""
+        self.factory.let_go(self)
         # What a client sends now has nobody to go to; it is read, so that our close does not turn into a
         # reset that overtakes the last line.
         self.setTimeout(LINGER)
@@ -178,12 +199,33 @@
         if self.link is not None:
             self.link.client_ended(self.clearLineBuffer())
         elif not self.number:
+            self.gone = True
             self.transport.loseConnection()
         if self.number:
             self.factory.put(Left(self.number))
 
+    def timeoutConnection(self) -> None:
+        self.factory.counts["said_nothing"] += not self.answered
+        if self.answered:
+            super().timeoutConnection()
+        else:
+            self.transport.loseConnection()
+
+    def end_early(self) -> None:
+        """Make room at once, not a turn later: until then a flood takes the descriptors that others need."""
+        if not self.answered:
+            # Its line may have come and not been read yet.
+            self.transport.doRead()
+            if self not in self.factory.idle:
+                return
+            self.transport.writeSomeData(BUSY + END)
+        self.factory.counts["ended_early"] += 1
+        self.transport.connectionLost(Failure(error.ConnectionDone()))
+
     def lost(self, clean: bool) -> None:
+        self.gone = True
         self.factory.sides.discard(self)
+        self.factory.idle.pop(self, None)
         if self.link is not None and not self.ended:
             self.link.client_lost()
         if self.number:
@@ -198,19 +240,44 @@
 
     def __init__(self, put: Callable, clock: Callable, ready: Callable, sockets: int, counts) -> None:
         self.put, self.clock, self.ready, self.counts = put, clock, ready, counts
+        self.sides: set[ClientSide] = set()  # open connections; each leaves as it is lost
+        self.idle: dict[ClientSide, None] = {}  # those of them that have no flow, the oldest first
         self.most = 1
         self.allow(sockets)
-        self.sides: set[ClientSide] = set()  # open connections; each leaves as it is lost
 
     def allow(self, sockets: int) -> None:
         """Take connections for so many descriptors."""
-        self.most = max(1, sockets - SPARE)
+        self.most = max(1, sockets - max(OWN[1], sockets // OWN[0]) - ACCEPTS)
+
+    def take_in(self, side: ClientSide) -> None:
+        """Count a newcomer in. Descriptors that have no flow go, the oldest first, to one that may bring one:
+        hundreds that connected and said nothing had the usual clients turned away."""
+        self.sides.add(side)
+        self.idle[side] = None
+        while self._taken() > self.most and len(self.idle) > 1:
+            next(iter(self.idle)).end_early()
+        if self._taken() > self.most:
+            # Accepting until no descriptor is left would lose flows unanswered.
+            self.counts["turned_away"] += 1
+            side.answer(BUSY)
+
+    def let_go(self, side: ClientSide) -> None:
+        """A connection has its last line and only lingers."""
+        if side in self.sides:
+            self.idle.pop(side, None)
+            self.idle[side] = None
 
-    def full(self) -> bool:
-        """Whether hardly a descriptor is left, at up to two for a connection."""
-        return len(self.sides) + sum(side.number > 0 for side in self.sides) > self.most
+    def _taken(self) -> int:
+        """Descriptors in use: two for each connection that has asked."""
+        return 2 * len(self.sides) - len(self.idle)
 
     def buildProtocol(self, addr) -> ClientSide:
         self.counts["connections"] += 1
         return super().buildProtocol(addr)
 
+
+class Door(tcp.Port):
+    """The listening socket. It takes in a few connections a turn, and no more after a burst, as Twisted's own
+    would: one that took in hundreds before it read the first had to end usual clients unread."""
+
+    numberAccepts = property(lambda self: ACCEPTS, lambda self, _: None)
--- a/lotusroute/net/lines.py
+++ b/lotusroute/net/lines.py
@@ -14,7 +14,8 @@
 from lotusroute.net.log import fault
 
 LINE = 4096  # bytes of a line with its ending, by the protocol
-HELD = 65_536  # bytes that come while lines are held; more, and reading stops until they are let go
+HELD = LINE  # bytes that come while lines are held; more, and reading stops until they are let go
+SIP = 8_192  # bytes read at once, and that may wait to be written: 64 KiB each way made a full house 90 MB
 
 PING, PONG, STATS, OPEN, UP, BUSY, MOVE, BYE, ERR, LOAD = (
     b"PING", b"PONG", b"STATS", b"OPEN", b"UP", b"BUSY", b"MOVE", b"BYE", b"ERR", b"LOAD",
@@ -42,6 +43,7 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = SIP
 
     def dataReceived(self, data: bytes) -> None:
         """Hand on the whole lines of `data`; what is left of it is copied, for it must outlive its buffer."""
--- a/lotusroute/net/owner.py
+++ b/lotusroute/net/owner.py
@@ -38,8 +38,12 @@
 SILENT = 2_500.0  # ms without a line though one waits: sound servers answer at once, clients bear 7 s
 QUIET = 60_000.0  # ms without a line from a client, who should send one every 2 s: its machine is gone
 GOING = 2_000.0  # ms for a server to end a connection that its client has left
-RESERVE = 160  # descriptors kept from flows: discovery, probes, log, and newcomers who are told BUSY
+RESERVE = 8, 64  # part of the descriptors, and the least, kept from flows: our own, and newcomers'
+BASE = 32  # MB that the program takes by itself: 24 measured, and the interpreter's growth
+FLOW = 1 / 16  # MB that a flow may take: what both its sides may hold, read and unwritten, and its objects
 QUEUE = 4096  # events that may wait before newcomers are rejected unseen: some 100 ms of work
+REMEMBERED = 60_000.0  # ms that an id stays known after its flow: servers hold it open as long as any client
+IDS = 20_000  # ended flows whose ids are known at most: some 3 MB
 AGAIN = 1_000.0  # ms before a standing connection that found no server is tried again
 STAND = 8_000.0  # ms that its server has to take it back; the start is the busiest time of all
 STAND_LONGEST = 35_000.0  # ms until it is given up; it counts as lost after 40 s
@@ -106,13 +110,15 @@
         self.queue: deque = deque()  # bounded: newcomers are rejected beyond QUEUE, others are few a flow
         self.running = False
         self.flows: dict[int, _Held] = {}  # in hand; each leaves with its answer or its connection's end
+        self.ids: set[str] = set()  # of the flows in hand and those ended lately; leave with `ended`
+        self.ended: deque[tuple[float, str]] = deque()  # ids with their ends; each leaves after REMEMBERED
         self.next = 0
         self.dials: dict[str, tuple[str, int]] = {}  # leave with their server
         self.probers: dict[str, Prober] = {}  # leave with their server
         self.delays: dict[str, list[float]] = {}  # answers timed since the last look, which empties it
         self.slow: set[str] = set()  # servers noted as slow; leave when noted as well again, or gone
         self.room = 1
-        self.allow(posting.sockets)
+        self.allow(posting)
         self.draining: dict[str, float] = {}  # when their clients shall be gone; leave by the list
         self.stepping = False
         self.stopping = 0.0
@@ -128,9 +134,10 @@
         """Whether flows can be taken."""
         return bool(self.dials) and not self.stopping
 
-    def allow(self, sockets: int) -> None:
-        """Take flows for so many descriptors."""
-        self.room = max(1, (sockets - RESERVE) // 2)
+    def allow(self, posting: Posting) -> None:
+        """Take flows for the descriptors and the memory that are told."""
+        sockets = (posting.sockets - max(RESERVE[1], posting.sockets // RESERVE[0])) // 2
+        self.room = max(1, min(sockets, int((posting.memory_mb - BASE) / FLOW)))
 
     # The queue
 
@@ -158,8 +165,9 @@
 
     def _forget(self, number: int) -> None:
         """Answer a flow over which something broke, so that it is not lost."""
-        held = self.flows.pop(number, None)
+        held = self.flows.get(number)
         if held is not None:
+            self._drop(held)
             self._hang_up(held)
             if held.up:
                 held.client.move()
@@ -167,6 +175,11 @@
                 held.client.answer(ERR)
             self.put(i.Withdrawn(number))
 
+    def _drop(self, held: _Held) -> None:
+        """A flow is answered, or its connection over. Only those who copied its id use it again."""
+        del self.flows[held.number]
+        self.ended.append((self.clock(), held.opening.id))
+
     def _later(self, ms: float, event: object):
         return reactor.callLater(max(0.0, ms) / 1000, self.put, event)
 
@@ -178,15 +191,17 @@
 
     def _asked(self, event: Asked) -> None:
         opening, side = event.opening, event.side
-        if opening.service_type not in self.posting.vip.service_types:
-            self.counts["malformed_lines"] += 1
-            side.answer(ERR)
+        if side.gone:
+            self.counts["withdrawn"] += 1
+        elif self._unusable(opening):
+            side.refuse()
         elif self.stopping:
             self._turn_away(side, STOP_ADVICE)
         elif not opening.at and (len(self.flows) >= self.room or len(self.queue) > QUEUE):
             self._turn_away(side, FULL_ADVICE)
         else:
             self.next += 1
+            self.ids.add(opening.id)
             due = event.at + opening.wait - min(MARGIN, MARGIN_SHARE * opening.wait)
             held = self.flows[self.next] = _Held(self.next, opening, due, side)
             side.number = held.number
@@ -196,6 +211,13 @@
             else:
                 self._decide(self._flow(held))
 
+    def _unusable(self, opening: Opening) -> bool:
+        """Whether no server could use it. The id of an open flow, sent by another client, had servers answer
+        ERR to healthy flows' namesakes, and the servers set aside for it."""
+        tenants, tenant = self.posting.tenants, opening.tenant
+        unknown = opening.service_type not in self.posting.vip.service_types
+        return unknown or opening.id in self.ids or bool(tenants and tenant and tenant not in tenants)
+
     def _flow(self, held: _Held) -> i.Flow:
         o = held.opening
         return i.Flow(held.number, o.service_type, o.tenant, o.group, o.key, held.due, returned=o.returned)
@@ -285,7 +307,7 @@
         if LOG.isEnabledFor(10):
             say("ended", 10, flow=held.number, server=server, result=result, up=held.up)
         if held.up:
-            del self.flows[held.number]
+            self._drop(held)
             self._decide(i.Ended(held.number, server, True, result))
         elif held.opening.at:
             kind = self.posting.vip.service_types[held.opening.service_type].kind
@@ -310,7 +332,7 @@
                 held.timer = self._later(GOING, Gone(held.number))
             return
         self.counts["withdrawn"] += 1
-        del self.flows[held.number]
+        self._drop(held)
         self._hang_up(held)
         held.client.answer(ERR)
         if not held.opening.at:
@@ -367,6 +389,8 @@
         """Note slow servers, as the decisions expect it: once a second while it lasts, and once after."""
         self._later(LOOK, Look())
         now, silent, quiet = self.clock(), [], []
+        while self.ended and (self.ended[0][0] < now - REMEMBERED or len(self.ended) > IDS):
+            self.ids.discard(self.ended.popleft()[1])
         for held in self.flows.values():
             if not held.up or held.link is None:
                 continue
@@ -449,7 +473,7 @@
         """Discovery watches by itself, and there are no messages between balancers."""
 
     def _answer(self, held: _Held, words: bytes) -> None:
-        del self.flows[held.number]
+        self._drop(held)
         self._hang_up(held)
         held.client.answer(words)
         if LOG.isEnabledFor(10):
--- a/lotusroute/net/startup.py
+++ b/lotusroute/net/startup.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import re
 from collections.abc import Mapping
 from typing import NamedTuple
 
@@ -13,10 +14,11 @@
 from lotusroute.vip import vip as decode_vip
 
 SOCKETS = 1024.0  # descriptors, where no limit is told: what a process usually may hold
+MEMORY = 1024.0  # MB, where no limit is told: more than all descriptors can fill
 COME_UP = 250.0  # ms for a connection to come up, where none is told: a far site and one lost packet
 LONGEST = 3_000.0  # ms, the connect timeout of a service type for which none is told
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
-APPLIED = {"discovery", "sockets"}  # what a running balancer takes over; the rest needs a restart
+APPLIED = {"discovery", "sockets", "memory_mb"}  # what a running balancer takes over; else it must restart
 FRESH = {"seed", "known"}  # new at each start, and nothing to one that runs
 
 
@@ -28,6 +30,8 @@
     discovery: tuple[str, int]
     seed: int
     sockets: int
+    memory_mb: float
+    tenants: frozenset[str]  # those that may ask; empty where none are told
     known: dict  # the server list as last held, in discovery's form
     vip: Vip
     come_up: float  # ms for a connection to a server to come up
@@ -103,6 +107,8 @@
         discovery=checked("LB_DISCOVERY", address, text("discovery")),
         seed=int.from_bytes(str(told.get("seed", "")).encode()),
         sockets=int(figure("limits.sockets", limits.get("sockets"), SOCKETS)),
+        memory_mb=figure("limits.memory_mb", limits.get("memory_mb"), MEMORY),
+        tenants=frozenset(env[key] for key in env if re.fullmatch(r"tenants\.\d+\.name", key)),
         known=known,
         # The protocol has no messages between balancers, and no frame in which a server says it is slow.
         vip=vip._replace(peers=False, tells_delay=False),
