Segments start where standing connections are; checks each second on sockets

A trace by second and server showed one server with 3 connections and set-ups of 10 to 17 ms, four with up to 26 and 50 to 280 ms, and the pairs of group and server, each of which is paid for, growing from 12 to 29. Ruled out by probes: bad clients (0 came through), lines (0.1 ms back from all), PING (3 to 5 ms across zones, whatever the load; +4 ms once), our own lateness.

--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -38,7 +38,7 @@
 TELL = 0.08  # load over capacity: a smaller change is within the noise of reports, siblings need not hear it
 RETELL = 4_000.0  # ms: an unchanged load is told again, for siblings that missed it; a quarter of the bytes
 STALE = 12_000.0  # ms: three tellings missed; an older load says nothing
-CHECK = 5  # ticks: the design's 5 s between checks
+CHECK = 5  # ticks: the design's 5 s between checks; each tick where no server says it is slow
 NEW_FOR = 10_000.0  # ms: a new server counts at the mean for so long, its count says nothing yet
 ASIDE = 4_000.0  # ms: most of the list's lateness about a dead server, and again half as random part
 BAD = 0.45  # share: two failed connects in a row, or one that found nobody
@@ -47,13 +47,15 @@
 TARGET = 0.8  # load over capacity to get an overdriven server down to; what is piled up must drain
 HOT_FOR = 2_500.0  # ms: two and a half of the notes that come once a second
 NOTED_FOR = 8_000.0  # ms: a server says when its messages are well again, but only over own connections
-SLOWER = 1.6  # times the others' median set-up: an overdriven server took 1.5 to 4, chance seldom does twice
+SLOWER = 2.5  # times the quickest other server's set-up: most of a fleet was slow and its median said nothing
+LATELY = 0.5  # share of the average set-up lately that counts like the quickest server's: a crowd slows all
 SETUP_GAIN = 0.3  # share: set-ups anywhere are averaged over three, so that a crowd shows before it is blamed
 PATIENCE = 2.0  # setup targets: how long one connect may take while others could follow
 FAILING = 0.5  # failed connects per one that stands: as many as a cut zone brings, more and flows wait
 SPARE = 4.0  # failed connects: so few say nothing yet
 MOVE_EVERY = 2_000.0  # ms: until a probe can show what the last moves did
 MOVE_SHARE = 0.15  # share of own connections that leave at a time where no probe tells the load
+UNTOLD = 0.34  # the same where no server says that its messages are slow: what set-ups show is late and large
 PACE = 0.5  # times the mean first arrivals that a server jammed just now gets while it recovers
 DOUBLING = 4_000.0  # ms without a sign of trouble after which that pace doubles
 RECOVERY = 12_000.0  # ms without a sign of trouble until a jammed server counts as well
@@ -81,10 +83,9 @@
         self.state = i.GONE  # until its line is read
         self.word = _word(line.id)
         self.tag = (self.word >> 48).to_bytes(2)  # short name in messages; two alike are rare, then misjudged
-        self.size = 1.0
         self.open: dict[int, _Held] = {}  # own connections, emptied as each ends
         self.bad = self.aside = self.hot = self.weak = self.moved = 0.0
-        self.setup = 0.0  # ms, smoothed, that set-ups took
+        self.size, self.setup = 1.0, 0.0  # as listed; ms, smoothed, that set-ups took
         self.room, self.joined = 0.0, 0  # own connections that fit by the last probe; made since
         self.turn, self.own_turn, self.turns = now, now, 0  # its last flows by turn, while cold or jammed
         self.load: float | None = None  # as last heard, and when
@@ -182,8 +183,7 @@
             # Back from the dead: what was held against the old process says nothing of the new one.
             host.started, host.listed = line.started, self.now
             host.bad = host.aside = host.hot = host.weak = host.setup = 0.0
-            host.load = None
-            host.turn, host.own_turn, host.turns = self.now, self.now, 0
+            host.turn, host.own_turn, host.turns, host.load = self.now, self.now, 0, None
         host.zone, host.cell, host.state = line.zone, line.cell, line.state
         host.size = line.size if self.vip.sizes_hold and line.size > 0 else 1.0
 
@@ -221,9 +221,8 @@
 
     def _check(self) -> None:
         """Move one segment from the busiest server to the idlest, where their ratio is under R."""
-        if not any(len(h.open) >= FEW for h in self.ready):
-            return
-        old = [h for h in self.ready if h.aside <= self.now
+        held = any(len(h.open) >= FEW for h in self.ready)
+        old = [h for h in self.ready if held and h.aside <= self.now
                and (h.listed + NEW_FOR <= self.now or h.load is not None)]
         if len(old) < 2:
             return
@@ -351,6 +350,9 @@
         held.up = True
         if host is not None:
             host.open[event.flow.id] = held
+            if self.vip.shares_work and host.state == i.READY:
+                # Groups that stood elsewhere than their defaults were paid for twice: 12 places became 25.
+                self.moved[held.segment, held.place] = host
 
     def _established(self, event: i.Established) -> None:
         held = self.held.get(event.id)
@@ -387,14 +389,12 @@
         elif result == i.UNREACHABLE:
             # Silent death shows in connects long before the list tells of it.
             self._blame(host, 0.6)
-        elif result in (i.ERROR, i.TIMEOUT) or (result == i.RESET and not held.up):
-            if result == i.TIMEOUT:
-                self._weaken(host)
-            self._blame(host, 0.3)
-        elif result == i.RESET:
+        elif result in (i.ERROR, i.TIMEOUT, i.RESET):
             # Many connections cut at once: the process is gone. One cut now and then: it sheds load.
-            self._weaken(host)
-            self._blame(host, 0.15)
+            cut = result == i.RESET and held.up
+            if cut or result == i.TIMEOUT:
+                self._weaken(host)
+            self._blame(host, 0.15 if cut else 0.3)
 
     def _set_up(self, host: _Host, took: float) -> None:
         """Where no server tells that its messages are slow, one stood overdriven beside idle ones for 15 s.
@@ -404,7 +404,7 @@
         host.setup = ((host.setup or usual) + took) / 2
         told = self.vip.tells_delay or host.load is not None or self._cold(host)
         others = sorted(h.setup or usual for h in self.ready if not told and h is not host)
-        if others and min(took, host.setup) > SLOWER * max(usual, others[len(others) // 2]):
+        if others and min(took, host.setup) > SLOWER * max(LATELY * usual, others[0]):
             host.hot = max(host.hot, self.now + HOT_FOR)
             self._weaken(host, HOT_FOR)
 
@@ -539,14 +539,14 @@
         self.depth = DEPTH if len(self.sick) <= JAMMED * len(self.ready) else JAMMED_DEPTH
         if self.vip.probes and self.ready:
             self._probe(self.ready)
-        if not self.ticks % CHECK:
+        if not (self.vip.tells_delay and self.ticks % CHECK):
             self._check()
 
     def _move_off(self, host: _Host) -> None:
         host.moved = self.now
         able = [h for h in host.open.values() if h.up]
         able.sort(key=lambda h: (-h.load, h.flow.id))
-        share = max(MOVE_SHARE, 1 / (1 + len(able)))
+        share = max(MOVE_SHARE if self.vip.tells_delay else UNTOLD, 1 / (1 + len(able)))
         if host.load is not None:
             share = max(0.0, 1 - TARGET / max(host.load, 0.01))
         for held in able[: int(len(able) * share + self.chance.random())]:
