Hot servers' groups leave whole to the idlest; first-listed servers are not new

A trace by second: one server stood with 0 connections for its first ten seconds beside one with 29 and set-ups of 48 to 82 ms; pairs of group and server grew from 6 to 17 as connections left one by one. Ruled out: a late list (all five servers listed as ready at 0.75 s), set-aside (first at 5 s, of others), refusals (none before 12 s). At fault in choice.py: _listed counted the servers of the first list as new for NEW_FOR, so _check passed them by just after a start; _move_off sent the heaviest away whatever their groups, and back to the entry they had left.

--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -17,6 +17,7 @@
 
 import math
 import random
+from collections import Counter
 from zlib import crc32
 
 from lotusroute import interface as i
@@ -86,10 +87,9 @@
         self.open: dict[int, _Held] = {}  # own connections, emptied as each ends
         self.bad = self.aside = self.hot = self.weak = self.moved = 0.0
         self.size, self.setup = 1.0, 0.0  # as listed; ms, smoothed, that set-ups took
-        self.room, self.joined = 0.0, 0  # own connections that fit by the last probe; made since
+        self.room, self.joined, self.load_at = 0.0, 0, 0.0  # own connections that fit, as probed; made since
         self.turn, self.own_turn, self.turns = now, now, 0  # its last flows by turn, while cold or jammed
-        self.load: float | None = None  # as last heard, and when
-        self.load_at = 0.0
+        self.load: float | None = None  # as last heard, at `load_at`
 
 
 class _Held:
@@ -102,9 +102,8 @@
         self.place = 0  # of the segment's servers, the one that is its entry
         self.tried: list[str] = []
         self.ran: _Host | None = None  # where it may have run first, and the time of that connect
-        self.ran_at = self.sent_at = 0.0
         self.host: _Host | None = None
-        self.up, self.load = False, 0.0
+        self.up, self.load, self.ran_at, self.sent_at = False, 0.0, 0.0, 0.0
 
 
 class Director:
@@ -112,6 +111,7 @@
 
     def __init__(self, vip: i.Vip, seed: int) -> None:
         self.vip = vip
+        self.untold = not vip.tells_delay  # no server says that its messages are slow, as on sockets
         self.chance = random.Random(seed)
         self.slow = min((t.setup_target for t in vip.service_types.values()), default=0.0) / 3
         self.now = 0.0
@@ -177,7 +177,9 @@
         if host is None:
             if line.state == i.GONE:
                 return
-            host = self.hosts[line.id] = _Host(line, self.now)
+            # On sockets those of the first list are not new: one stood idle for 10 s beside 29 connections.
+            first = self.untold and self.ticks <= 1
+            host = self.hosts[line.id] = _Host(line, -NEW_FOR if first else self.now)
             self.tags[host.tag] = host
         elif line.started != host.started:
             # Back from the dead: what was held against the old process says nothing of the new one.
@@ -232,10 +234,9 @@
         if len(busiest.open) < FEW or usage[idlest.id] >= R * usage[busiest.id]:
             return
         gap = (usage[busiest.id] - usage[idlest.id]) / usage[busiest.id] * len(busiest.open) / 2
-        own = sorted({(held.segment, held.place) for held in busiest.open.values()})
-        own = [spot for spot in own if self._entry(*spot) is busiest]
+        own = [s for s in {(x.segment, x.place) for x in busiest.open.values()} if self._entry(*s) is busiest]
         if own:
-            spot = min(own, key=lambda spot: abs(self.counts[spot[0]] - gap))
+            spot = min(own, key=lambda spot: (abs(self.counts[spot[0]] - gap), spot))
             self.moved.pop(spot, None)
             if self._entry(*spot) is not idlest:
                 self.moved[spot] = idlest
@@ -328,8 +329,7 @@
 
     def _give_up(self, held: _Held) -> None:
         kind = self.vip.service_types[held.flow.service_type]
-        known = kind.kind == i.REFERENCED and kind.group == "all"
-        if held.ran is None or kind.kind == i.REPEATABLE or known:
+        if held.ran is None or kind.kind == i.REPEATABLE or (kind.kind, kind.group) == (i.REFERENCED, "all"):
             self.out.append(i.Reject(held.flow.id, min(self.vip.max_retry_after, ADVICE)))
         else:
             self.out.append(i.Abort(held.flow.id))
@@ -355,8 +355,7 @@
                 self.moved[held.segment, held.place] = host
 
     def _established(self, event: i.Established) -> None:
-        held = self.held.get(event.id)
-        if held is not None:
+        if (held := self.held.get(event.id)) is not None:
             held.up = True
             self.stood += 1
             if held.host is not None:
@@ -402,9 +401,9 @@
         host.bad *= 0.5
         self.usual = (usual := self.usual or took) + SETUP_GAIN * (took - usual)
         host.setup = ((host.setup or usual) + took) / 2
-        told = self.vip.tells_delay or host.load is not None or self._cold(host)
-        others = sorted(h.setup or usual for h in self.ready if not told and h is not host)
-        if others and min(took, host.setup) > SLOWER * max(LATELY * usual, others[0]):
+        unclear = self.untold and host.load is None and not self._cold(host)
+        others = [h.setup or usual for h in self.ready if unclear and h is not host]
+        if others and min(took, host.setup) > SLOWER * max(LATELY * usual, min(others)):
             host.hot = max(host.hot, self.now + HOT_FOR)
             self._weaken(host, HOT_FOR)
 
@@ -415,13 +414,11 @@
             self.out.append(i.Say(f"set aside {host.id}"))
 
     def _load_noted(self, event: i.LoadNoted) -> None:
-        held = self.held.get(event.id)
-        if held is not None:
+        if (held := self.held.get(event.id)) is not None:
             held.load = event.load
 
     def _delay_noted(self, event: i.DelayNoted) -> None:
-        host = self.hosts.get(event.server)
-        if host is not None:
+        if (host := self.hosts.get(event.server)) is not None:
             host.hot = self.now + NOTED_FOR if event.delay >= self.slow else 0.0
             self._weaken(host)
 
@@ -459,8 +456,7 @@
         """A sibling's probe. Nothing depends on it: each balancer keeps the rules alone."""
         said = event.message
         for at in range(0, len(said) - 2, 3):
-            host = self.tags.get(said[at:at + 2])
-            if host is not None:
+            if (host := self.tags.get(said[at:at + 2])) is not None:
                 self._loaded(host, said[at + 2] / 100)
 
     def _loaded(self, host: _Host, load: float) -> None:
@@ -503,8 +499,7 @@
         alone the one falls over, and a crowd of returning clients never lets the other recover."""
         if self._cold(host):
             warm = max(0.0, self.now - host.started) / self.vip.warm_after
-            share = self.vip.cold_from + (1 - self.vip.cold_from) * warm
-            return self._turn(host, self.vip.tip_multiple * share)
+            return self._turn(host, self.vip.tip_multiple * (1 - (1 - self.vip.cold_from) * (1 - warm)))
         if host.weak <= self.now:
             return True
         if host.load is not None:
@@ -539,19 +534,24 @@
         self.depth = DEPTH if len(self.sick) <= JAMMED * len(self.ready) else JAMMED_DEPTH
         if self.vip.probes and self.ready:
             self._probe(self.ready)
-        if not (self.vip.tells_delay and self.ticks % CHECK):
+        if self.untold or not self.ticks % CHECK:
             self._check()
 
     def _move_off(self, host: _Host) -> None:
         host.moved = self.now
         able = [h for h in host.open.values() if h.up]
-        able.sort(key=lambda h: (-h.load, h.flow.id))
-        share = max(MOVE_SHARE if self.vip.tells_delay else UNTOLD, 1 / (1 + len(able)))
+        # A group torn apart is paid for twice: where it can be told in time, the largest leave whole.
+        groups = Counter(h.segment for h in able if self.vip.shares_work and self.untold)
+        able.sort(key=lambda h: (-groups[h.segment], bool(groups) * h.segment, -h.load, h.flow.id))
+        share = max(UNTOLD if self.untold else MOVE_SHARE, 1 / (1 + len(able)))
         if host.load is not None:
             share = max(0.0, 1 - TARGET / max(host.load, 0.01))
         for held in able[: int(len(able) * share + self.chance.random())]:
             self.out.append(i.Move(held.flow.id))
             held.up = False
+            fit = [h for h in self.ready if max(h.aside, h.hot) <= self.now and not self._cold(h)]
+            if groups and fit and self._entry(held.segment, held.place) is host:
+                self.moved[held.segment, held.place] = min(fit, key=lambda h: (len(h.open) / h.size, h.id))
 
     _on = {
         i.ServerList: _server_list, i.Flow: _flow, i.AlreadyOpen: _already_open, i.Established: _established,
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -385,3 +385,33 @@
         for key in KEYS[:60]:
             open_in(lambda server, ms=ms: 20.0 if server == slow else ms, key)
     assert [known.hot > host.now for known in host.director.hosts.values()].count(True) == 3
+
+
+def test_on_sockets_the_largest_group_leaves_a_hot_server_whole_and_goes_to_the_idlest():
+    # The heaviest connections left, whatever their group: three groups on one server became twelve on four.
+    host = FakeHost(3, shares_work=True)
+    lies = {}
+    for at in range(30):
+        lies.setdefault(host.ask(group=f"g{at}").server, []).append(f"g{at}")
+    busy, idle, other = sorted(lies)
+    host = FakeHost(3, shares_work=True)
+    large = [host.open(str(at), group=lies[busy][0]).id for at in range(4)]
+    lone = host.open("k", group=lies[busy][1])
+    host.open("k", group=lies[other][0])
+    host.tell(i.LoadNoted(lone.id, 9_000_000.0))
+    host.tell(i.DelayNoted(busy, 900.0))
+    moved = [move.id for move in of(i.Move, host.wait(2000.0))]
+    assert moved and set(moved) <= set(large)
+    assert host.ask(group=lies[busy][0]).server == idle
+
+
+def test_on_sockets_a_server_of_the_first_list_is_not_new_and_takes_a_segment_at_once():
+    # One stood idle for ten seconds beside one with 29 connections; where servers tell, they are left alone.
+    for tells, taken in (False, True), (True, False):
+        host = FakeHost(2)
+        mine = [key for key in KEYS if host.ask(key).server == "s0"]
+        host = FakeHost(2, tells_delay=tells)
+        for key in mine[:20]:
+            host.open(key)
+        host.wait(5_000.0)
+        assert any(host.ask(key).server == "s1" for key in mine) == taken
