--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -405,7 +405,7 @@
         others = [h.setup or usual for h in self.ready if unclear and h is not host]
         if others and min(took, host.setup) > SLOWER * max(LATELY * usual, min(others)):
             host.hot = max(host.hot, self.now + HOT_FOR)
-            self._weaken(host)
+            self._weaken(host, HOT_FOR)
 
     def _blame(self, host: _Host, weight: float) -> None:
         host.bad += weight * (1 - host.bad)
@@ -507,10 +507,10 @@
             return host.room >= 0
         return self._turn(host, PACE * 2 ** ((self.now + RECOVERY - host.weak) / DOUBLING))
 
-    def _weaken(self, host: _Host) -> None:
-        # On sockets a cut or a slow set-up is often chance: paced for 12 s, sound servers stood half idle.
-        host.turn = self.now if host.weak <= self.now else host.turn
-        host.weak = max(host.weak, self.now + (HOT_FOR if self.untold else RECOVERY))
+    def _weaken(self, host: _Host, lasts: float = RECOVERY) -> None:
+        if host.weak <= self.now:
+            host.turn = self.now
+        host.weak = max(host.weak, self.now + lasts)
         self.sick[host.id] = host
 
     # Upkeep
