Standing lines are taken in the first minute after the start only

Seen in the code: lines with at= pass the bound on flows and wait up to 35 s for a server that may not exist; sent by a bad client at any time they take all descriptors. Checked with a story: 70 s after the start such a line was taken in. At fault: Owner._asked.

--- a/lotusroute/net/owner.py
+++ b/lotusroute/net/owner.py
@@ -46,6 +46,7 @@
 IDS = 20_000  # ended flows whose ids are known at most: some 3 MB
 AGAIN = 1_000.0  # ms before a standing connection that found no server is tried again
 STAND = 8_000.0  # ms that its server has to take it back; the start is the busiest time of all
+STAND_FROM = 60_000.0  # ms from our start in which they come; later such lines are made up, and took any room
 STAND_LONGEST = 35_000.0  # ms until it is given up; it counts as lost after 40 s
 FULL_ADVICE = 1_000.0  # ms for a newcomer who finds no descriptor left: connections end by the second
 STOP_MOVES = 450.0  # ms after the order to stop: until then the front sends newcomers, moved ones too
@@ -107,6 +108,7 @@
         self.director = Director(posting.vip, posting.seed)
         # Unix time, as servers' starts are told in it and balancers take turns by it, but steady.
         self.epoch = time.time() * 1000 - time.monotonic() * 1000
+        self.began = self.clock()
         self.queue: deque = deque()  # bounded: newcomers are rejected beyond QUEUE, others are few a flow
         self.running = False
         self.flows: dict[int, _Held] = {}  # in hand; each leaves with its answer or its connection's end
@@ -193,7 +195,7 @@
         opening, side = event.opening, event.side
         if side.gone:
             self.counts["withdrawn"] += 1
-        elif self._unusable(opening):
+        elif self._unusable(opening) or (opening.at and self.clock() > self.began + STAND_FROM):
             side.refuse()
         elif self.stopping:
             self._turn_away(side, STOP_ADVICE)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -11,8 +11,10 @@
 from fakehost import DEADLINE, SETTINGS, Balancer, FakeServer, discovery, soon
 
 from lotusroute import interface
-from lotusroute.net import startup
+from lotusroute.net import log, startup
+from lotusroute.net.clients import Asked, opening
 from lotusroute.net.lines import SliceReceiver
+from lotusroute.net.owner import Owner
 from lotusroute.vip import Malformed
 
 
@@ -397,3 +399,26 @@
     assert [bytes(line) for line in kept] == [b"M 1 a\r\n", b"M 2 b\r\n"] and kept[0].obj is read
     side.dataReceived(b" c\r\n")
     assert bytes(kept[2]) == b"M 3 c\r\n"
+
+
+def test_a_made_up_standing_line_long_after_the_start_gets_an_error_and_takes_no_room(tmp_path):
+    class Side:
+        gone, said = False, ()
+
+        def refuse(self):
+            self.said = b"ERR"
+
+        def answer(self, words):
+            self.said = words
+
+    file = tmp_path / "told.json"
+    good = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": SETTINGS}
+    file.write_text(json.dumps(good))
+    owner = Owner(startup.read({"LB_CONFIG": str(file)}), log.Counts())
+    for late, flows in (0.0, 1), (70_000.0, 1):
+        owner.epoch += late
+        side = Side()
+        line = opening(f"OPEN id{late:.0f} k c=live,d=4294967,at=s9\r\n".encode())
+        owner._asked(Asked(side, line, owner.clock()))
+        assert len(owner.flows) == flows
+    assert side.said == b"ERR"
