Small writes go out at once, and the reactor sets up no log context around each event

Need: a line through the balancer took 0.12 ms longer than straight, a flow 0.4 to 0.6 ms of CPU, much of it turns of the reactor. Change: what a socket takes is written where it arises, only the rest waits for the reactor; so a connect's line is known to be written at once. net/polling.py is Twisted's epoll reactor without the log context. The name of an error is no longer looked up by call.

--- a/lotusroute/__main__.py
+++ b/lotusroute/__main__.py
@@ -8,6 +8,12 @@
 import signal
 import sys
 
+from lotusroute.net import polling
+
+polling.install()
+
+# Nothing may import Twisted's reactor before ours is installed.
+# ruff: noqa: E402, I001
 from twisted.internet import defer, error, reactor
 
 from lotusroute import interface
--- a/lotusroute/net/clients.py
+++ b/lotusroute/net/clients.py
@@ -164,7 +164,7 @@
         if self.answered:
             return
         self.answered, self.held = True, False
-        self.transport.write(words + END)
+        self.put_out(words + END)
         self.halfClose()
 
     def join(self, link, receipt: memoryview) -> None:
@@ -180,7 +180,7 @@
     def move(self) -> None:
         """Send the client away, after the last whole line."""
         self.link = None
-        self.transport.write(MOVE + END)
+        self.put_out(MOVE + END)
         self.halfClose()
 
     def halfClose(self) -> None:
--- a/lotusroute/net/lines.py
+++ b/lotusroute/net/lines.py
@@ -5,7 +5,7 @@
 beyond its limit, or know whose connection it reads.
 """
 
-from twisted.internet import error
+from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.protocols.basic import LineReceiver
 from twisted.protocols.policies import TimeoutMixin
@@ -77,10 +77,25 @@
         elif len(self._buffer) >= LINE and not self.transport.disconnecting:
             self.lineLengthExceeded(self._buffer)
 
+    def write(self, data: bytes) -> bytes:
+        """Write at once what the socket takes, and return the rest; the transport has nothing waiting. A turn
+        of the reactor with two calls to epoll for each small write was a third of the delay of a line."""
+        transport = self.transport
+        if not transport.connected or transport.dataBuffer or transport._tempDataBuffer:
+            return data
+        sent = transport.writeSomeData(data)
+        # A broken connection is an exception here; writing the rest has the transport find out by itself.
+        return data[sent:] if isinstance(sent, int) else data
+
+    def put_out(self, data: bytes) -> None:
+        """Write, now or behind what waits already."""
+        if rest := self.write(data):
+            self.transport.write(rest)
+
     def send(self, line: memoryview) -> None:
         """Write a slice. Twisted's transports take nothing but bytes and keep them until written, so this is
         where a line is copied, unless it is all that its buffer holds, as nearly always."""
-        self.transport.write(line.obj if len(line) == len(line.obj) else bytes(line))
+        self.put_out(line.obj if len(line) == len(line.obj) else bytes(line))
 
     def release(self) -> None:
         """Let go the lines held back."""
@@ -108,7 +123,7 @@
 
     def connectionLost(self, reason) -> None:
         self.setTimeout(None)
-        self.lost(bool(reason.check(error.ConnectionDone)))
+        self.lost(bool(reason.check(ConnectionDone)))
 
     def timeoutConnection(self) -> None:
         self.transport.abortConnection()
--- a/lotusroute/net/servers.py
+++ b/lotusroute/net/servers.py
@@ -62,7 +62,8 @@
 
 
 class _Opening:
-    """Pull producer that writes a connect's line and learns when its last byte is written."""
+    """Pull producer that writes what a socket did not take of a connect's line at once, and learns when its
+    last byte is written."""
 
     def __init__(self, side: "ServerSide") -> None:
         self.side = side
@@ -93,7 +94,12 @@
 
     def connectionMade(self) -> None:
         super().connectionMade()
-        self.transport.registerProducer(_Opening(self), streaming=False)
+        link = self.link
+        link.line = self.write(link.line)
+        if link.line:
+            self.transport.registerProducer(_Opening(self), streaming=False)
+        else:
+            link.reach = WRITTEN
 
     def lineReceived(self, line: memoryview) -> None:
         if self.client is None:
