Looks for garbage come more seldom, and pass over what stood at the start

Need: a look at all objects stalls the balancer while thousands of connections stand, and costs each flow. Change: what stands at the start is frozen, thresholds are 5,000, 20, 20. Measured in turn with the build before: CPU a flow at 16 at once 0.93 times (median of six, 0.71 to 1.25: a noisy machine), at 5,000 standing connections 0.83 (three); memory a standing connection 4.9 KB in place of 4.6.

--- a/lotusroute/__main__.py
+++ b/lotusroute/__main__.py
@@ -3,6 +3,7 @@
 Owns the order of the start and of the end, and the signals. It must never hold state of a flow.
 """
 
+import gc
 import logging
 import os
 import signal
@@ -23,6 +24,7 @@
 from lotusroute.net.owner import Owner
 from lotusroute.vip import Malformed
 
+COLLECT = 5_000, 20, 20  # objects, and younger looks, between looks for garbage: every few hundred flows
 BACKLOG = 1024  # connections that may wait to be accepted when all clients of a peer come at once
 
 
@@ -51,6 +53,9 @@
         if reactor.running:
             reactor.stop()
 
+    # What stands at the start is not looked through again; looks at all flows come seldom, for they stall us.
+    gc.freeze()
+    gc.set_threshold(*COLLECT)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: reactor.callFromThread(owner.stop, finish))
     # The default end on SIGHUP cut off every client when only the address of discovery had changed.
