--- a/lotusroute/net/servers.py
+++ b/lotusroute/net/servers.py
@@ -89,7 +89,7 @@
         self.link = link
         self.client = None  # where lines are passed on to, once the connection stands
         self.asked: deque[float] = deque(maxlen=UNANSWERED)  # when lines went out; each answer takes one
-        self.heard = self.spoke = 0.0  # when the server's and the client's last lines came
+        self.heard = self.spoke = 0.0  # when the server's and the client's last lines came; 0: never
         self.last = i.RESET  # how the connection ends if it ended now
 
     def connectionMade(self) -> None:
@@ -211,7 +211,9 @@
     def join(self, client) -> None:
         """Pass lines on to and from `client` from now on."""
         side = self.side
-        side.client, side.heard, side.spoke = client, self.clock(), self.clock()
+        side.client, side.heard = client, self.clock()
+        # One that only listens and vanishes would keep its descriptors for good.
+        client.transport.setTcpKeepAlive(True)
         client.transport.registerProducer(side.transport, streaming=True)
         side.transport.registerProducer(client.transport, streaming=True)
         side.release()
@@ -241,8 +243,9 @@
         return now - self.side.asked[0] if self.side.asked else 0.0
 
     def quiet(self, now: float) -> float:
-        """For how long the client has said nothing, in ms."""
-        return now - self.side.spoke
+        """For how long a client that has spoken before has said nothing, in ms: those that only listen were
+        moved each minute."""
+        return now - self.side.spoke if self.side.spoke else 0.0
 
     def silent(self, now: float) -> float:
         """For how long the server has brought nothing though a line waits, in ms."""
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,12 +9,14 @@
 
 import pytest
 from fakehost import DEADLINE, SETTINGS, Balancer, FakeServer, discovery, soon
+from twisted.internet.testing import StringTransport
 
 from lotusroute import interface
 from lotusroute.net import log, startup
 from lotusroute.net.clients import Asked, opening
 from lotusroute.net.lines import SliceReceiver
 from lotusroute.net.owner import Owner
+from lotusroute.net.servers import WRITTEN, Link, ServerSide
 from lotusroute.vip import Malformed
 
 
@@ -127,6 +129,48 @@
         assert balancer.ask().readline() == b"UP two\r\n"
 
 
+def test_only_a_client_that_used_to_speak_counts_as_gone_when_it_says_nothing():
+    # Standing connections that only listen were moved each minute.
+    link = Link(1, "s1", b"", None, lambda: 5_000.0, None)
+    side = link.side = ServerSide(link)
+    assert link.quiet(90_000.0) == 0.0
+    side.transport = Partial(0)
+    side.pass_on(memoryview(b"M 1\r\n"))
+    assert link.quiet(90_000.0) == 85_000.0
+
+
+def test_what_a_socket_takes_in_part_is_written_in_order_and_to_the_last_byte():
+    # A connect's line counts as written with its last byte; each part that the socket takes ends elsewhere.
+    line = b"OPEN 1 k c=live,d=900\r\n"
+    for taken in range(len(line) + 1):
+        link = Link(1, "s1", line, None, lambda: 0.0, None)
+        side, transport = ServerSide(link), Partial(taken)
+        side.makeConnection(transport)
+        assert (link.reach == WRITTEN) == (taken == len(line))
+        for _ in range(2):
+            if transport.producer is not None:
+                transport.producer.resumeProducing()
+        assert transport.value() == line and link.reach == WRITTEN
+
+
+class Partial(StringTransport):
+    """A transport whose socket takes so many bytes at once."""
+
+    dataBuffer = b""
+    _tempDataBuffer = ()
+
+    def __init__(self, taken):
+        super().__init__()
+        self.taken = taken
+
+    def writeSomeData(self, data):
+        self.write(data[: self.taken])
+        return self.taken
+
+    def setTcpNoDelay(self, on):
+        pass
+
+
 def test_told_to_stop_it_refuses_newcomers_moves_its_clients_between_lines_and_exits():
     server = FakeServer("s1")
     with Balancer(server) as balancer:
