--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -59,6 +59,7 @@
 WORTH = 1 / 24  # of the least setup target: by so much, added up, set-ups are late before it is a sign
 STALL = 100.0  # ms: connects begun within it are one sign, for a stall of ours lengthens all alike
 LONE = 0.05  # what is held against a server after three set-ups in a row: under it a late connect is chance
+SOUND = 8  # set-ups in time after which a jammed server counts as well: at few a second RECOVERY is less
 LAST_LOOK = 8  # servers beside the segment's own that are looked at before a flow is refused
 PATIENCE = 2.0  # setup targets: how long one connect may take while others could follow
 FAILING = 0.5  # failed connects per one that stands: as many as a cut zone brings, more and flows wait
@@ -102,7 +103,7 @@
     __slots__ = ("id", "word", "tag", "zone", "cell", "state", "size", "started", "listed",
                  "open", "bad", "aside", "hot", "load", "load_at", "turn", "own_turn", "turns", "weak",
                  "moved", "room", "joined",
-                 "setup", "last", "mild", "sure", "late", "signs", "sign_at")  # fmt: skip
+                 "setup", "last", "mild", "sure", "late", "signs", "sign_at", "sound")  # fmt: skip
 
     def __init__(self, line: i.Server, now: float) -> None:
         self.id, self.started, self.listed = line.id, line.started, now
@@ -117,7 +118,7 @@
         self.mild = self.sure = 0.0  # until when set-ups advise against it, and against staying there
         self.sign_at = 0.0  # when the connect of the last sign was begun
         self.late = 0.0  # ms by which set-ups in a row were late
-        self.signs = 0  # signs in a row that its set-ups gave
+        self.signs = self.sound = 0  # signs in a row by set-ups; set-ups in time since it was jammed
         self.room, self.joined, self.load_at = 0.0, 0, 0.0  # own connections that fit, as probed; made since
         self.turn, self.own_turn, self.turns = now, now, 0  # its last flows by turn, while cold or jammed
         self.load: float | None = None  # as last heard, at `load_at`
@@ -480,6 +481,8 @@
         slow = min(took, host.last.value)
         if slow <= least * SLOWER:
             host.late, host.signs = 0.0, host.signs if host.mild > self.now else 0
+            host.sound += 1
+            host.weak = min(host.weak, self.now) if host.sound >= SOUND else host.weak
             return
         host.late += slow - least
         if host.late < WORTH * self.target:
@@ -614,7 +617,7 @@
     def _weaken(self, host: _Host, lasts: float = RECOVERY) -> None:
         if host.weak <= self.now:
             host.turn = self.now
-        host.weak = max(host.weak, self.now + lasts)
+        host.weak, host.sound = max(host.weak, self.now + lasts), 0
         self.sick[host.id] = host
 
     # Upkeep
