The look beside a segment's order copies eight servers, not the whole fleet

Need: each flow about to be refused copied the list of all servers to look at eight of them, so its cost grew with the fleet. Change: only the slices that are looked at are taken, the same servers in the same order; unused counters of the peers are gone.

--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -48,7 +48,7 @@
     factory: "Servers"
 
     def __init__(self) -> None:
-        self.up, self.ended, self.timer = False, False, None
+        self.up, self.timer = False, None
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -57,7 +57,6 @@
         if self.up:
             self.sendLine(line)
             return
-        self.factory.lines += 1
         wait = self.factory.wait()
         if wait > 0:
             self.timer = reactor.callLater(wait / 1000, self._receipt)
@@ -80,7 +79,7 @@
     protocol = Server
 
     def __init__(self, setup: float, draw: Draw, slow: tuple[float, float] | None = None) -> None:
-        self.setup, self.draw, self.slow, self.lines = setup, draw, slow, 0
+        self.setup, self.draw, self.slow = setup, draw, slow
         self.began = time.monotonic()
 
     def wait(self) -> float:
--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -340,7 +340,7 @@
         """A server outside the segment's order, before a flow is refused or goes where signs are: it was
         refused beside idle servers, for all four of its own had a sign."""
         start = int(self.chance.random() * len(self.ready))
-        for host in (self.ready[start:] + self.ready[:start])[:LAST_LOOK]:
+        for host in (self.ready[start:start + LAST_LOOK] + self.ready[:min(start, LAST_LOOK)])[:LAST_LOOK]:
             signs = max(host.aside, host.hot, host.weak, host.mild)
             if (signs <= self.now and not self._cold(host) and host.id not in held.tried
                     and self._remembers(held, host)):  # fmt: skip
