A server is slow from a third of the least message target, and hot from all of it

Change: Vip.message_target from family_info.message_aim; on sockets the set-up target's third stays, since our own scheduling is in what we time. Notes under the target make a server mild (passed by), from it hot.

--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -47,6 +47,7 @@
 CALM = 0.7  # load over capacity: under it, with room left over, a jammed server counts as well again
 TARGET = 0.8  # load over capacity to get an overdriven server down to; what is piled up must drain
 HOT_FOR = 2_500.0  # ms: two and a half of the notes that come once a second
+LATE = 3.0  # times that a message takes which was noted, from which on it is late: a server is told from a third
 NOTED_FOR = 8_000.0  # ms: a server says when its messages are well again, but only over own connections
 SLOWER = 2.5  # times the quickest other server's set-up: most of a fleet was slow and its median said nothing
 LATELY = 0.5  # share of the average set-up lately that counts like the quickest server's: a crowd slows all
@@ -71,7 +72,7 @@
 DOUBLING = 4_000.0  # ms without a sign of trouble after which that pace doubles
 RECOVERY = 12_000.0  # ms without a sign of trouble until a jammed server counts as well
 ROUND = 3_000.0  # ms: in which the turn at a cold server passes all balancers; the time in which one falls
-LUMP = 4.0  # times the mean that one server may be asked for, when a large group lies on it
+LUMP = 2.0  # times the mean that one server may be asked for, when a large group lies on it
 RATE_GAIN = 0.1  # share: arrivals are averaged over about ten ticks
 BACK_OFF = 500.0  # ms: first wait after a refused call to the list; doubles up to half of ask_every
 MIX, MASK = 0xBF58476D1CE4E5B9, (1 << 64) - 1  # the odd multiplier of SplitMix64; any will do
@@ -146,7 +147,8 @@
         self.untold = not vip.tells_delay  # no server says that its messages are slow, as on sockets
         self.chance = random.Random(seed)
         self.target = min((t.setup_target for t in vip.service_types.values()), default=0.0)
-        self.slow = self.target / 3
+        self.slow = (self.target if self.untold else vip.message_target) / 3
+        self.late = self.slow * (1 if self.untold else LATE)
         self.now = 0.0
         self.out: list[i.Action] = []
         self.hosts: dict[str, _Host] = {}  # servers listed; gone ones leave with their last connection
@@ -324,15 +326,15 @@
                   and not cold and self.chance.random() < DOUBT):
                 # Where siblings are many, clients cut off by a jammed server are the only news of it.
                 doubted = host
-            elif self._turn_taken(host):
+            elif self._turn_taken(host, held.flow.returned):
                 return host
-        if doubted is not None and self._turn_taken(doubted):
+        if doubted is not None and self._turn_taken(doubted, held.flow.returned):
             return doubted
         if self.untold and (beside := self._beside(held)) is not None:
             return beside
-        if mild is not None and self._turn_taken(mild):
+        if mild is not None and self._turn_taken(mild, held.flow.returned):
             return mild
-        if aside is not None and hot is None and self._turn_taken(aside):
+        if aside is not None and hot is None and self._turn_taken(aside, held.flow.returned):
             return aside
         return None
 
@@ -520,9 +522,15 @@
             held.load = event.load
 
     def _delay_noted(self, event: i.DelayNoted) -> None:
-        if (host := self.hosts.get(event.server)) is not None:
-            host.hot = self.now + NOTED_FOR if event.delay >= self.slow else 0.0
+        if (host := self.hosts.get(event.server)) is None:
+            return
+        until = self.now + NOTED_FOR
+        host.mild = until if event.delay >= self.slow else 0.0
+        host.hot = until if event.delay >= self.late else 0.0
+        if host.hot:
             self._weaken(host)
+        elif host.mild:
+            self.sick[host.id] = host
 
     def _probe(self, ready: list[_Host]) -> None:
         """Probe what the price allows: 160 balancers that all probed 80 servers cost a third of service."""
@@ -574,7 +582,7 @@
         host.room = math.floor(fits + self.chance.random())
         host.joined = 0
 
-    def _turn(self, host: _Host, bears: float) -> bool:
+    def _turn(self, host: _Host, bears: float, returned: bool) -> bool:
         """One flow while the turn is this balancer's. Turns pass by own number, each such a part of a round
         as the server bears, in multiples of what a warm one gets. 377 that waited for all left 555 idle."""
         turn = bears / LUMP
@@ -586,7 +594,8 @@
                 host.own_turn = self.now
                 host.turns += 1
                 return True
-            turn *= self.rate / max(self.asks, self.asked, self.rate, 1e-9)
+            if returned:
+                turn *= self.rate / max(self.asks, self.asked, self.rate, 1e-9)
         # One flow a turn is a crumb of hundreds a second: where the pace brings several, it alone counts.
         own = max(self.rate, self.arrived) / TICK * bears * host.size / self.capacity
         if own * ROUND > LUMP and not self._cold(host):
@@ -601,18 +610,18 @@
     def _cold(self, host: _Host) -> bool:
         return host.started > 0 and self.now < host.started + self.vip.warm_after
 
-    def _turn_taken(self, host: _Host) -> bool:
+    def _turn_taken(self, host: _Host, returned: bool) -> bool:
         """Pace what goes to a cold or jammed server: under several balancers that each think themselves
         alone the one falls over, and a crowd of returning clients never lets the other recover."""
         if self._cold(host):
             warm = max(0.0, self.now - host.started) / self.vip.warm_after
-            return self._turn(host, self.vip.tip_multiple * (1 - (1 - self.vip.cold_from) * (1 - warm)))
+            return self._turn(host, self.vip.tip_multiple * (1 - (1 - self.vip.cold_from) * (1 - warm)), returned)
         if host.weak <= self.now:
             return True
         if host.load is not None:
             host.room -= 1
             return host.room >= 0
-        return self._turn(host, PACE * 2 ** ((self.now + RECOVERY - host.weak) / DOUBLING))
+        return self._turn(host, PACE * 2 ** ((self.now + RECOVERY - host.weak) / DOUBLING), returned)
 
     def _weaken(self, host: _Host, lasts: float = RECOVERY) -> None:
         if host.weak <= self.now:
--- a/lotusroute/interface.py
+++ b/lotusroute/interface.py
@@ -35,6 +35,7 @@
     asks: bool = False  # servers may be probed
     probes: bool = False  # and then report their load
     tells_delay: bool = False  # servers say when their messages are slow
+    message_target: float = 0.0  # ms, the least that a service type wants its messages within
     probe_price: float = 0.0  # points of service that one probe a flow costs
     peer_price: float = 0.0  # and one full message a flow
     peers: bool = False  # siblings may be told things
--- a/lotusroute/vip.py
+++ b/lotusroute/vip.py
@@ -84,6 +84,7 @@
             group=env.get(path + "group", "all"),
             window=get(path + "window"),
         )
+    targets = [number(part) for part in env.get("family_info.message_aim", "").split(",") if part]
     probes = flag("limits.probes") and env.get("report.source", "silent") != "silent"
     return i.Vip(
         service_types=service_types,
@@ -94,6 +95,7 @@
         asks=probes,
         probes=probes,
         tells_delay=flag("family_info.tells_delay"),
+        message_target=min(targets, default=0.0),
         probe_price=get("deductions.probe"),
         peer_price=get("deductions.peer"),
         peers=flag("limits.peers"),
