--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -66,6 +66,7 @@
 FAILING = 0.5  # failed connects per one that stands: as many as a cut zone brings, more and flows wait
 SPARE = 4.0  # failed connects: so few say nothing yet
 MOVE_EVERY = 2_000.0  # ms: until a probe can show what the last moves did
+HALF = 0.5
 MOVE_SHARE = 0.15  # share of own connections that leave at a time where no probe tells the load
 UNTOLD = 0.34  # the same where no server says that its messages are slow: what set-ups show is late and large
 PACE = 0.5  # times the mean first arrivals that a server jammed just now gets while it recovers
@@ -103,7 +104,7 @@
 
     __slots__ = ("id", "word", "tag", "zone", "cell", "state", "size", "started", "listed",
                  "open", "bad", "aside", "hot", "load", "load_at", "turn", "own_turn", "turns", "weak",
-                 "moved", "room", "joined",
+                 "moved", "delay", "room", "joined",
                  "setup", "last", "mild", "sure", "late", "signs", "sign_at", "sound")  # fmt: skip
 
     def __init__(self, line: i.Server, now: float) -> None:
@@ -112,7 +113,7 @@
         self.word = _word(line.id)
         self.tag = (self.word >> 48).to_bytes(2)  # short name in messages; two alike are rare, then misjudged
         self.open: dict[int, _Held] = {}  # own connections, emptied as each ends
-        self.bad = self.aside = self.hot = self.weak = self.moved = 0.0
+        self.bad = self.aside = self.hot = self.weak = self.moved = self.delay = 0.0
         self.size = 1.0  # as listed
         self.setup: _Mean | None = None  # ms that set-ups took
         self.last: _Mean | None = None  # and the last few
@@ -228,7 +229,7 @@
             host.signs, host.late = 0, 0.0
             host.turn, host.own_turn, host.turns, host.load = self.now, self.now, 0, None
         host.zone, host.cell, host.state = line.zone, line.cell, line.state
-        host.size = line.size if self.vip.sizes_hold and line.size > 0 else 1.0
+        host.size = line.size ** 2 if self.vip.sizes_hold and line.size > 0 else 1.0
 
     # The design: segments, defaults and moves
 
@@ -524,7 +525,7 @@
     def _delay_noted(self, event: i.DelayNoted) -> None:
         if (host := self.hosts.get(event.server)) is None:
             return
-        until = self.now + NOTED_FOR
+        until, host.delay = self.now + NOTED_FOR, event.delay
         host.mild = until if event.delay >= self.slow else 0.0
         host.hot = until if event.delay >= self.late else 0.0
         if host.hot:
@@ -660,7 +661,7 @@
         # A group torn apart is paid for twice: where it can be told in time, the largest leave whole.
         groups = Counter(h.segment for h in able if self.vip.shares_work and self.untold)
         able.sort(key=lambda h: (-groups[h.segment], bool(groups) * h.segment, -h.load, h.flow.id))
-        share = max(UNTOLD if self.untold else MOVE_SHARE, 1 / (1 + len(able)))
+        share = max(UNTOLD, 1 / (1 + len(able))) if self.untold else min(HALF, MOVE_SHARE * host.delay / self.late)
         if host.load is not None:
             share = max(0.0, 1 - TARGET / max(host.load, 0.01))
         for held in able[: int(len(able) * share + self.chance.random())]:
