--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -66,7 +66,6 @@
 FAILING = 0.5  # failed connects per one that stands: as many as a cut zone brings, more and flows wait
 SPARE = 4.0  # failed connects: so few say nothing yet
 MOVE_EVERY = 2_000.0  # ms: until a probe can show what the last moves did
-HALF = 0.5
 MOVE_SHARE = 0.15  # share of own connections that leave at a time where no probe tells the load
 UNTOLD = 0.34  # the same where no server says that its messages are slow: what set-ups show is late and large
 PACE = 0.5  # times the mean first arrivals that a server jammed just now gets while it recovers
@@ -661,7 +660,8 @@
         # A group torn apart is paid for twice: where it can be told in time, the largest leave whole.
         groups = Counter(h.segment for h in able if self.vip.shares_work and self.untold)
         able.sort(key=lambda h: (-groups[h.segment], bool(groups) * h.segment, -h.load, h.flow.id))
-        share = max(UNTOLD, 1 / (1 + len(able))) if self.untold else min(HALF, MOVE_SHARE * host.delay / self.late)
+        share = 1 / (1 + len(able))
+        share = max(UNTOLD, share) if self.untold else max(MOVE_SHARE, min(share, MOVE_SHARE * host.delay / self.late))
         if host.load is not None:
             share = max(0.0, 1 - TARGET / max(host.load, 0.01))
         for held in able[: int(len(able) * share + self.chance.random())]:
