--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -66,6 +66,7 @@
 FAILING = 0.5  # failed connects per one that stands: as many as a cut zone brings, more and flows wait
 SPARE = 4.0  # failed connects: so few say nothing yet
 MOVE_EVERY = 2_000.0  # ms: until a probe can show what the last moves did
+AFTER = 20_000.0
 MOVE_SHARE = 0.15  # share of own connections that leave at a time where no probe tells the load
 UNTOLD = 0.34  # the same where no server says that its messages are slow: what set-ups show is late and large
 PACE = 0.5  # times the mean first arrivals that a server jammed just now gets while it recovers
@@ -525,7 +526,7 @@
         if (host := self.hosts.get(event.server)) is None:
             return
         until, host.delay = self.now + NOTED_FOR, event.delay
-        host.mild = until if event.delay >= self.slow else 0.0
+        host.mild = until if event.delay >= self.slow else 0.0 if self.untold else self.now + AFTER
         host.hot = until if event.delay >= self.late else 0.0
         if host.hot:
             self._weaken(host)
