--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -122,7 +122,7 @@
         self.late = 0.0  # ms by which set-ups in a row were late
         self.signs = self.sound = 0  # signs in a row by set-ups; set-ups in time since it was jammed
         self.room, self.joined, self.load_at = 0.0, 0, 0.0  # own connections that fit, as probed; made since
-        self.turn, self.own_turn, self.turns = now, now, 0  # its last flows by turn, while cold or jammed
+        self.turn, self.own_turn, self.turns = -math.inf, now, 0  # its last flows by turn, while cold or jammed
         self.load: float | None = None  # as last heard, at `load_at`
 
 
@@ -227,7 +227,7 @@
             host.bad = host.aside = host.hot = host.weak = host.mild = host.sure = 0.0
             host.setup = host.last = None
             host.signs, host.late = 0, 0.0
-            host.turn, host.own_turn, host.turns, host.load = self.now, self.now, 0, None
+            host.turn, host.own_turn, host.turns, host.load = -math.inf, self.now, 0, None
         host.zone, host.cell, host.state = line.zone, line.cell, line.state
         host.size = line.size ** 2 if self.vip.sizes_hold and line.size > 0 else 1.0
 
