--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -72,6 +72,7 @@
 PACE = 0.5  # times the mean first arrivals that a server jammed just now gets while it recovers
 DOUBLING = 4_000.0  # ms without a sign of trouble after which that pace doubles
 RECOVERY = 12_000.0  # ms without a sign of trouble until a jammed server counts as well
+THOUGHT = 1.0  # flows a tick thought in: a balancer that sees one in three ticks took each for a crowd
 ROUND = 3_000.0  # ms: in which the turn at a cold server passes all balancers; the time in which one falls
 LUMP = 2.0  # times the mean that one server may be asked for, when a large group lies on it
 RATE_GAIN = 0.1  # share: arrivals are averaged over about ten ticks
@@ -595,8 +596,9 @@
                 host.own_turn = self.now
                 host.turns += 1
                 return True
+            turn *= host.size * len(self.ready) / max(self.capacity, host.size)
             if returned:
-                turn *= self.rate / max(self.asks, self.asked, self.rate, 1e-9)
+                turn *= (self.rate + THOUGHT) / (max(self.asks, self.asked, self.rate) + THOUGHT)
         # One flow a turn is a crumb of hundreds a second: where the pace brings several, it alone counts.
         own = max(self.rate, self.arrived) / TICK * bears * host.size / self.capacity
         if own * ROUND > LUMP and not self._cold(host):
