Servers fit for a whole group are looked for only where groups leave whole

Profile of a tap: a third of the time in the list of fit servers, made anew for each connection moved, though only sockets use it.

--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -667,11 +667,12 @@
         share = max(UNTOLD, share) if self.untold else max(MOVE_SHARE, min(share, MOVE_SHARE * host.delay / self.late))
         if host.load is not None:
             share = max(0.0, 1 - TARGET / max(host.load, 0.01))
+        # ica69c5: looked for at each of 2,000 moves a second among 251 servers, it took a third of all CPU.
+        fit = [h for h in self.ready if max(h.aside, h.hot) <= self.now and not self._cold(h)] if groups else []
         for held in able[: int(len(able) * share + self.chance.random())]:
             self.out.append(i.Move(held.flow.id))
             held.up = False
-            fit = [h for h in self.ready if max(h.aside, h.hot) <= self.now and not self._cold(h)]
-            if groups and fit and self._entry(held.segment, held.place) is host:
+            if fit and self._entry(held.segment, held.place) is host:
                 self.moved[held.segment, held.place] = min(fit, key=lambda h: (len(h.open) / h.size, h.id))
 
     _on = {
