Probes and messages between balancers are taken out: no deployment that goes on has them

Taken out of module, interface, adapter and program; the wire's checked and from_peer are still read and passed over. With it: stories for the move; a server of the first list that is cold got its part of the budget 10 s early on sockets (found by a story): mended.

--- a/lotusroute/adapter/wire.py
+++ b/lotusroute/adapter/wire.py
@@ -1,8 +1,5 @@
 """The bench's wire: lines of text in, lines of text out, and the names that end here."""
 
-import base64
-import binascii
-
 from lotusroute import interface as i
 from lotusroute.vip import Malformed, number, one_of
 from lotusroute.vip import vip as decode_vip
@@ -36,20 +33,6 @@
     return None if text == "-" else text
 
 
-def loads(text: str) -> dict[str, float]:
-    """Read a load report.
-
-    >>> loads("util:0.5,x0:0.75"), loads("-")
-    ({'util': 0.5, 'x0': 0.75}, {})
-    """
-    if text == "-":
-        return {}
-    pairs = [pair.partition(":") for pair in text.split(",")]
-    if not all(colon for _, colon, _ in pairs):
-        raise Malformed(f"'{text}' is not a load report")
-    return {name: number(value) for name, _, value in pairs}
-
-
 def vip(parts: list[str]) -> i.Vip:
     """Decode the settings of an instance."""
     env: dict[str, str] = {}
@@ -96,13 +79,6 @@
     return i.DelayNoted(v[2], value) if topic == MESSAGES_SLOW else None
 
 
-def _from_peer(v: list[str]) -> i.PeerSaid:
-    try:
-        return i.PeerSaid(integer(v[0]), b"" if v[1] == "-" else base64.b64decode(v[1], validate=True))
-    except binascii.Error:
-        raise Malformed(f"'{v[1]}' is not base64") from None
-
-
 # name of the message: how many values it has, and how they are read
 EVENTS = {
     "ask": (8, _ask),
@@ -112,13 +88,13 @@
     "resolved": (7, _resolved),
     "withdrawn": (1, lambda v: i.Withdrawn(integer(v[0]))),
     "alarm": (1, lambda v: i.Wake(v[0])),
-    "checked": (4, lambda v: i.Probed(v[0], v[1] == "S", loads(v[3]))),
-    "from_peer": (2, _from_peer),
+    "checked": (4, lambda v: None),  # probes and messages of siblings: none are asked for
+    "from_peer": (2, lambda v: None),
 }
 
 
 def event(name: str, values: list[str]) -> i.Event | None:
-    """Decode one event; None for a notice on a topic that this balancer does not know.
+    """Decode one event; None for what this balancer has no use for.
 
     >>> event("withdrawn", ["242166553"])
     Withdrawn(id=242166553)
@@ -138,8 +114,6 @@
     i.Abort: lambda a: f"abort {a.id}",
     i.Move: lambda a: f"relocate {a.id}",
     i.WakeMe: lambda a: f"remind {a.delay:.3f} {a.mark}",
-    i.Probe: lambda a: f"touch {a.server}",
-    i.Tell: lambda a: f"publish -1 {base64.b64encode(a.message).decode()}",
     i.Subscribe: lambda a: "listen 1",
     i.Say: lambda a: f"remark {a.line}",
 }
--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -6,13 +6,12 @@
 
 The design: a client's key hashes to a segment, a segment has a default server by highest hash, shared
 by all balancers (a large one several); when usage is uneven one moves from the busiest to the idlest.
-Beside it stand six mechanisms, the smallest departures that were found to work:
+Beside it stand five mechanisms, the smallest departures that were found to work:
   1. set-aside      a server that fails connects gets nothing for a fixed time with a random part
   2. spill          a jammed server passes new flows down the segment's hash order, a few steps at most
   3. turns          balancers take turns at cold and jammed servers, which get no more than they can bear
   4. further tries  a failed connect goes down the hash order, unless most connects fail wherever they go
   5. polite moves   connections leave an overdriven server, the heaviest first
-  6. shared probes  siblings tell one another the loads they probed, within a price
 """
 
 import math
@@ -31,23 +30,13 @@
 JAMMED_DEPTH = 2  # the same while much of the fleet is jammed
 JAMMED = 0.75  # share of servers: what much of the fleet means; at 0.5 mixed days lose
 DOUBT = 0.75  # share of returning clients that pass by a server of which nothing is known; 0.5 did less
-TICK = 1_000.0  # ms: upkeep, one round of probes; as often as servers speak of slow messages
-POINTS = 0.01  # of service: what all probes may cost; a third of what counts as noise
-TOLD_POINTS = 0.03  # of service: what all messages may cost; at 0.01 stale loads lost 0.02 to 0.06
-MESSAGE = 16.0  # bytes that a message of one load costs: 3, and what its head was seen to cost
-HOARD = 10  # ticks' worth of messages that may be sent at once, when many loads change together
-TELL = 0.08  # load over capacity: a smaller change is within the noise of reports, siblings need not hear it
-RETELL = 4_000.0  # ms: an unchanged load is told again, for siblings that missed it; a quarter of the bytes
-STALE = 12_000.0  # ms: three tellings missed; an older load says nothing
+TICK = 1_000.0  # ms: upkeep; as often as servers speak of slow messages
 CHECK = 5  # ticks: the design's 5 s between checks; each tick where no server says it is slow
 NEW_FOR = 10_000.0  # ms: a new server counts at the mean for so long, its count says nothing yet
 ASIDE = 4_000.0  # ms: most of the list's lateness about a dead server, and again half as random part
 BAD = 0.45  # share: two failed connects in a row, or one that found nobody
-OVERDRIVEN = 0.95  # load over capacity: above it messages start to queue
-CALM = 0.7  # load over capacity: under it, with room left over, a jammed server counts as well again
-TARGET = 0.8  # load over capacity to get an overdriven server down to; what is piled up must drain
 HOT_FOR = 2_500.0  # ms: two and a half of the notes that come once a second
-LATE = 3.0  # times that a message takes which was noted, from which on it is late: a server is told from a third
+LATE = 3.0  # times the least that is noted: at the whole message target a server is late, from a third slow
 NOTED_FOR = 8_000.0  # ms: a server says when its messages are well again, but only over own connections
 SLOWER = 2.5  # times the quickest other server's set-up: most of a fleet was slow and its median said nothing
 LATELY = 0.5  # share of the average set-up lately that counts like the quickest server's: a crowd slows all
@@ -65,16 +54,16 @@
 PATIENCE = 2.0  # setup targets: how long one connect may take while others could follow
 FAILING = 0.5  # failed connects per one that stands: as many as a cut zone brings, more and flows wait
 SPARE = 4.0  # failed connects: so few say nothing yet
-MOVE_EVERY = 2_000.0  # ms: until a probe can show what the last moves did
-AFTER = 20_000.0
-MOVE_SHARE = 0.15  # share of own connections that leave at a time where no probe tells the load
+MOVE_EVERY = 2_000.0  # ms: until notes can show what the last moves did
+AFTER = 20_000.0  # ms: half of what connections live; filled again at once it jammed again and again
+MOVE_SHARE = 0.15  # share of own connections that leave at a time, times how late messages are
 UNTOLD = 0.34  # the same where no server says that its messages are slow: what set-ups show is late and large
 PACE = 0.5  # times the mean first arrivals that a server jammed just now gets while it recovers
 DOUBLING = 4_000.0  # ms without a sign of trouble after which that pace doubles
 RECOVERY = 12_000.0  # ms without a sign of trouble until a jammed server counts as well
 THOUGHT = 1.0  # flows a tick thought in: a balancer that sees one in three ticks took each for a crowd
 ROUND = 3_000.0  # ms: in which the turn at a cold server passes all balancers; the time in which one falls
-LUMP = 2.0  # times the mean that one server may be asked for, when a large group lies on it
+LUMP = 2.0  # times the mean that one server may be asked for by a large group; 1 broke the rule
 RATE_GAIN = 0.1  # share: arrivals are averaged over about ten ticks
 BACK_OFF = 500.0  # ms: first wait after a refused call to the list; doubles up to half of ask_every
 MIX, MASK = 0xBF58476D1CE4E5B9, (1 << 64) - 1  # the odd multiplier of SplitMix64; any will do
@@ -103,28 +92,25 @@
 class _Host:
     """A server as this balancer knows it."""
 
-    __slots__ = ("id", "word", "tag", "zone", "cell", "state", "size", "started", "listed",
-                 "open", "bad", "aside", "hot", "load", "load_at", "turn", "own_turn", "turns", "weak",
-                 "moved", "delay", "room", "joined",
+    __slots__ = ("id", "word", "zone", "cell", "state", "size", "started", "listed",
+                 "open", "bad", "aside", "hot", "turn", "own_turn", "turns", "weak",
+                 "moved", "delay",
                  "setup", "last", "mild", "sure", "late", "signs", "sign_at", "sound")  # fmt: skip
 
     def __init__(self, line: i.Server, now: float) -> None:
         self.id, self.started, self.listed = line.id, line.started, now
         self.state = i.GONE  # until its line is read
         self.word = _word(line.id)
-        self.tag = (self.word >> 48).to_bytes(2)  # short name in messages; two alike are rare, then misjudged
         self.open: dict[int, _Held] = {}  # own connections, emptied as each ends
         self.bad = self.aside = self.hot = self.weak = self.moved = self.delay = 0.0
-        self.size = 1.0  # as listed
+        self.size = 1.0  # what it counts by listed size
         self.setup: _Mean | None = None  # ms that set-ups took
         self.last: _Mean | None = None  # and the last few
         self.mild = self.sure = 0.0  # until when set-ups advise against it, and against staying there
         self.sign_at = 0.0  # when the connect of the last sign was begun
         self.late = 0.0  # ms by which set-ups in a row were late
         self.signs = self.sound = 0  # signs in a row by set-ups; set-ups in time since it was jammed
-        self.room, self.joined, self.load_at = 0.0, 0, 0.0  # own connections that fit, as probed; made since
-        self.turn, self.own_turn, self.turns = -math.inf, now, 0  # its last flows by turn, while cold or jammed
-        self.load: float | None = None  # as last heard, at `load_at`
+        self.turn, self.own_turn, self.turns = -math.inf, now, 0  # last flows by turn, while cold or jammed
 
 
 class _Held:
@@ -149,7 +135,8 @@
         self.untold = not vip.tells_delay  # no server says that its messages are slow, as on sockets
         self.chance = random.Random(seed)
         self.target = min((t.setup_target for t in vip.service_types.values()), default=0.0)
-        self.slow = (self.target if self.untold else vip.message_target) / 3
+        # Of set-ups where none are told: 28 ms counted as well again where messages are wanted within 50.
+        self.slow = (not self.untold and vip.message_target or self.target) / 3
         self.late = self.slow * (1 if self.untold else LATE)
         self.now = 0.0
         self.out: list[i.Action] = []
@@ -161,11 +148,7 @@
         self.moved: dict[tuple[int, int], _Host] = {}  # overrides; leave with their server or as defaults
         self.counts: dict[int, int] = {}  # own flows by segment; a segment leaves at 0
         self.held: dict[int, _Held] = {}  # flows not finished; each leaves with its end
-        self.tags: dict[bytes, _Host] = {}  # hosts by their short name in messages; as many as hosts
         self.ticks = 0
-        self.one = 0.01  # load of one connection, as the fleet's load and own connections tell
-        self.probes_due = self.bytes_due = 0.0
-        self.ring = vip.me / vip.siblings  # where in the fleet the next own probe goes, 0 to 1
         self.depth = DEPTH  # of spilling, by the last tick's look at the fleet
         self.failed = self.stood = 0.0  # connects that failed (or were not made) and that stood
         self.arrived = self.asked = 0  # since the last tick: first arrivals, and all flows
@@ -206,7 +189,6 @@
             self._listed(line)
         for host in [h for h in self.hosts.values() if h.state == i.GONE and not h.open]:
             del self.hosts[host.id]
-            self.tags.pop(host.tag, None)
         self.ready = [h for h in self.hosts.values() if h.state == i.READY]
         self.capacity = sum(h.size for h in self.ready) or 1.0
         self.largest = max((h.size for h in self.ready), default=1.0)
@@ -220,17 +202,18 @@
                 return
             # On sockets those of the first list are not new: one stood idle for 10 s beside 29 connections.
             first = self.untold and self.ticks <= 1
-            host = self.hosts[line.id] = _Host(line, -NEW_FOR if first else self.now)
-            self.tags[host.tag] = host
+            host = self.hosts[line.id] = _Host(line, self.now)
+            host.listed -= NEW_FOR * first
         elif line.started != host.started:
             # Back from the dead: what was held against the old process says nothing of the new one.
             host.started, host.listed = line.started, self.now
             host.bad = host.aside = host.hot = host.weak = host.mild = host.sure = 0.0
             host.setup = host.last = None
             host.signs, host.late = 0, 0.0
-            host.turn, host.own_turn, host.turns, host.load = -math.inf, self.now, 0, None
+            host.turn, host.own_turn, host.turns = -math.inf, self.now, 0
         host.zone, host.cell, host.state = line.zone, line.cell, line.state
-        host.size = line.size ** 2 if self.vip.sizes_hold and line.size > 0 else 1.0
+        # Squared: a heavy connection and its group's cost are little to a large server, half of a small one.
+        host.size = line.size**2 if self.vip.sizes_hold and line.size > 0 else 1.0
 
     # The design: segments, defaults and moves
 
@@ -267,11 +250,10 @@
     def _check(self) -> None:
         """Move one segment from the busiest server to the idlest, where their ratio is under R."""
         held = any(len(h.open) >= FEW for h in self.ready)
-        old = [h for h in self.ready if held and h.aside <= self.now
-               and (h.listed + NEW_FOR <= self.now or h.load is not None)]
+        old = [h for h in self.ready if held and h.aside <= self.now and h.listed + NEW_FOR <= self.now]
         if len(old) < 2:
             return
-        usage = {h.id: len(h.open) / h.size if h.load is None else h.load for h in old}
+        usage = {h.id: len(h.open) / h.size for h in old}
         busiest = max(old, key=lambda h: (usage[h.id], h.id))
         idlest = min(old, key=lambda h: (usage[h.id], h.id))
         if len(busiest.open) < FEW or usage[idlest.id] >= R * usage[busiest.id]:
@@ -324,8 +306,8 @@
                 hot = host
             elif host.mild > self.now and not held.flow.mid_flow:
                 mild = mild or host
-            elif (held.flow.returned and not held.flow.mid_flow and host.load is None and not host.open
-                  and not cold and self.chance.random() < DOUBT):
+            elif (held.flow.returned and not held.flow.mid_flow and not host.open and not cold
+                  and self.chance.random() < DOUBT):
                 # Where siblings are many, clients cut off by a jammed server are the only news of it.
                 doubted = host
             elif self._turn_taken(host, held.flow.returned):
@@ -384,7 +366,6 @@
         held.tried.append(host.id)
         held.sent_at, held.host = self.now, host
         host.open[flow.id] = held
-        host.joined += 1
         self.out.append(i.Connect(flow.id, host.id, within))
 
     def _give_up(self, held: _Held) -> None:
@@ -476,7 +457,7 @@
         self.spread += SPREAD_GAIN * (min(1.0, off) - self.spread)
         host.setup.add(self.now, took)
         host.last.add(self.now, took)
-        if not self.untold or host.load is not None or self._cold(host):
+        if not self.untold or self._cold(host):
             return
         quick = self._quickest(host)
         if quick is None:
@@ -524,6 +505,8 @@
             held.load = event.load
 
     def _delay_noted(self, event: i.DelayNoted) -> None:
+        """Slow steers new flows past while others serve, late refuses and moves: with one grade for both a
+        full fleet moved all day. One that is well again stays slow to us while what filled it leaves."""
         if (host := self.hosts.get(event.server)) is None:
             return
         until, host.delay = self.now + NOTED_FOR, event.delay
@@ -534,56 +517,6 @@
         elif host.mild:
             self.sick[host.id] = host
 
-    def _probe(self, ready: list[_Host]) -> None:
-        """Probe what the price allows: 160 balancers that all probed 80 servers cost a third of service."""
-        for host in ready:
-            if host.load is not None and self.now > host.load_at + STALE:
-                host.load = None
-        loads = [h.load for h in ready if h.load is not None]
-        if loads and self.held:
-            self.one = max(1e-4, sum(loads) / len(loads) * len(ready) / (len(self.held) * self.vip.siblings))
-        afford = self.rate * POINTS / self.vip.probe_price if self.vip.probe_price else math.inf
-        if self.vip.peers and self.vip.siblings > 1:
-            # Each byte is paid for at every sibling: 359 of them cost 0.066 of service.
-            due = 256 * self.rate * TOLD_POINTS / ((self.vip.siblings - 1) * self.vip.peer_price or 1e-9)
-            self.bytes_due = min(self.bytes_due + due, max(HOARD * due, MESSAGE))
-        self.probes_due += min(len(ready), afford)
-        for _ in range(int(self.probes_due)):
-            self.out.append(i.Probe(ready[int(self.ring * len(ready)) % len(ready)].id))
-            self.ring = (self.ring + 1 / len(ready)) % 1
-        self.probes_due %= 1
-
-    def _probed(self, event: i.Probed) -> None:
-        host = self.hosts.get(event.server)
-        load = event.loads.get("x0", event.loads.get("util"))
-        if host is None or not event.ok or load is None:
-            return
-        if self.bytes_due >= MESSAGE and (
-                host.load is None or abs(load - host.load) >= TELL or self.now >= host.load_at + RETELL):
-            self.bytes_due -= MESSAGE
-            self.out.append(i.Tell(host.tag + bytes([max(0, min(255, round(load * 100)))])))
-        self._loaded(host, load)
-
-    def _peer_said(self, event: i.PeerSaid) -> None:
-        """A sibling's probe. Nothing depends on it: each balancer keeps the rules alone."""
-        said = event.message
-        for at in range(0, len(said) - 2, 3):
-            if (host := self.tags.get(said[at:at + 2])) is not None:
-                self._loaded(host, said[at + 2] / 100)
-
-    def _loaded(self, host: _Host, load: float) -> None:
-        host.load, host.load_at = load, self.now
-        if load > OVERDRIVEN:
-            host.hot = self.now + HOT_FOR
-            self._weaken(host)
-        elif load < CALM and host.hot <= self.now and host.room >= 1:
-            host.weak = 0.0
-        # A crowd that waits for a jammed server fills it anew in one go: let in what fits, own share. Where
-        # siblings are many that is less than one connection: chance rounds it.
-        fits = max(0.0, TARGET - load) / self.one / self.vip.siblings - host.joined
-        host.room = math.floor(fits + self.chance.random())
-        host.joined = 0
-
     def _turn(self, host: _Host, bears: float, returned: bool) -> bool:
         """One flow while the turn is this balancer's. Turns pass by own number, each such a part of a round
         as the server bears, in multiples of what a warm one gets. 377 that waited for all left 555 idle."""
@@ -596,6 +529,7 @@
                 host.own_turn = self.now
                 host.turns += 1
                 return True
+            # A group asks as much of a small server: 25 flows in a second had one of two cores fall over.
             turn *= host.size * len(self.ready) / max(self.capacity, host.size)
             if returned:
                 turn *= (self.rate + THOUGHT) / (max(self.asks, self.asked, self.rate) + THOUGHT)
@@ -618,12 +552,10 @@
         alone the one falls over, and a crowd of returning clients never lets the other recover."""
         if self._cold(host):
             warm = max(0.0, self.now - host.started) / self.vip.warm_after
-            return self._turn(host, self.vip.tip_multiple * (1 - (1 - self.vip.cold_from) * (1 - warm)), returned)
+            warm = self.vip.cold_from + (1 - self.vip.cold_from) * warm
+            return self._turn(host, self.vip.tip_multiple * warm, returned)
         if host.weak <= self.now:
             return True
-        if host.load is not None:
-            host.room -= 1
-            return host.room >= 0
         return self._turn(host, PACE * 2 ** ((self.now + RECOVERY - host.weak) / DOUBLING), returned)
 
     def _weaken(self, host: _Host, lasts: float = RECOVERY) -> None:
@@ -652,8 +584,6 @@
                 self._move_off(host)
         # Where much of the fleet is jammed, scattered groups cost more than the spill relieves.
         self.depth = DEPTH if len(self.sick) <= JAMMED * len(self.ready) else JAMMED_DEPTH
-        if self.vip.probes and self.ready:
-            self._probe(self.ready)
         if self.untold or not self.ticks % CHECK:
             self._check()
 
@@ -664,11 +594,13 @@
         groups = Counter(h.segment for h in able if self.vip.shares_work and self.untold)
         able.sort(key=lambda h: (-groups[h.segment], bool(groups) * h.segment, -h.load, h.flow.id))
         share = 1 / (1 + len(able))
-        share = max(UNTOLD, share) if self.untold else max(MOVE_SHARE, min(share, MOVE_SHARE * host.delay / self.late))
-        if host.load is not None:
-            share = max(0.0, 1 - TARGET / max(host.load, 0.01))
-        # ica69c5: looked for at each of 2,000 moves a second among 251 servers, it took a third of all CPU.
-        fit = [h for h in self.ready if max(h.aside, h.hot) <= self.now and not self._cold(h)] if groups else []
+        if self.untold:
+            share = max(UNTOLD, share)
+        else:
+            # Half of all left where each of many balancers held one: as many as messages are late now.
+            share = max(MOVE_SHARE, min(share, MOVE_SHARE * host.delay / self.late))
+        # ica69c5: looked for at each of 2,000 moves a second among 251 servers, it took a third of the CPU.
+        fit = [h for h in self.ready if groups and max(h.aside, h.hot) <= self.now and not self._cold(h)]
         for held in able[: int(len(able) * share + self.chance.random())]:
             self.out.append(i.Move(held.flow.id))
             held.up = False
@@ -678,5 +610,5 @@
     _on = {
         i.ServerList: _server_list, i.Flow: _flow, i.AlreadyOpen: _already_open, i.Established: _established,
         i.Ended: _ended, i.Withdrawn: lambda me, event: me._finish(me.held.get(event.id)), i.Wake: _wake,
-        i.LoadNoted: _load_noted, i.DelayNoted: _delay_noted, i.Probed: _probed, i.PeerSaid: _peer_said,
+        i.LoadNoted: _load_noted, i.DelayNoted: _delay_noted,
     }  # fmt: skip
--- a/lotusroute/interface.py
+++ b/lotusroute/interface.py
@@ -32,13 +32,8 @@
     siblings: int = 1
     shares_work: bool = False  # connections of one group share work on a server
     sizes_hold: bool = True  # listed sizes stay the same between lists
-    asks: bool = False  # servers may be probed
-    probes: bool = False  # and then report their load
     tells_delay: bool = False  # servers say when their messages are slow
-    message_target: float = 0.0  # ms, the least that a service type wants its messages within
-    probe_price: float = 0.0  # points of service that one probe a flow costs
-    peer_price: float = 0.0  # and one full message a flow
-    peers: bool = False  # siblings may be told things
+    message_target: float = 0.0  # ms, the least within which a service type wants its messages; 0 untold
     must_ask: bool = False  # the server list comes only when asked for
     ask_every: float = 10_000.0
     max_connects: int = 1
@@ -122,21 +117,6 @@
     delay: float
 
 
-class Probed(NamedTuple):
-    """A probe's answer, with the loads that the server reported."""
-
-    server: str
-    ok: bool
-    loads: dict[str, float]
-
-
-class PeerSaid(NamedTuple):
-    """Another balancer sent a message."""
-
-    peer: int
-    message: bytes
-
-
 class Wake(NamedTuple):
     """A wake-up asked for earlier."""
 
@@ -177,18 +157,6 @@
     mark: str
 
 
-class Probe(NamedTuple):
-    """Ask a server how it is."""
-
-    server: str
-
-
-class Tell(NamedTuple):
-    """Send all siblings a short message."""
-
-    message: bytes
-
-
 class Subscribe(NamedTuple):
     """Ask the list service for changes from now on."""
 
@@ -200,7 +168,6 @@
 
 
 Event = (
-    ServerList | Flow | AlreadyOpen | Established | Ended | Withdrawn | LoadNoted | DelayNoted | Probed
-    | PeerSaid | Wake
+    ServerList | Flow | AlreadyOpen | Established | Ended | Withdrawn | LoadNoted | DelayNoted | Wake
 )
-Action = Connect | Reject | Abort | Move | WakeMe | Probe | Tell | Subscribe | Say
+Action = Connect | Reject | Abort | Move | WakeMe | Subscribe | Say
--- a/lotusroute/net/clients.py
+++ b/lotusroute/net/clients.py
@@ -22,7 +22,7 @@
 LINGER = 1.0  # s for the other end to close after our last line; the protocol wants ends within a second
 DROPPED = 16_384  # bytes read and dropped after our last line; one who sends 60 MB is then read no more
 ACCEPTS = 16  # connections taken in between two looks at all others, so that a flood shares the core
-OWN = 16, 32  # part of the descriptors, and the least, kept for discovery, probes, the log, the reactor's own
+OWN = 16, 32  # part of the descriptors, and the least, kept for discovery, the log, the reactor's own
 
 # A first line as the protocol has it: what a server could not use must never reach one.
 ASK = re.compile(rb"OPEN ([0-9A-Za-z][0-9A-Za-z_.:-]{0,63}) ([!-~]{1,256}) ([!-~]+)\r\n")
--- a/lotusroute/net/owner.py
+++ b/lotusroute/net/owner.py
@@ -26,8 +26,6 @@
     Fell,
     Link,
     Loaded,
-    Prober,
-    Reported,
     Timed,
 )
 from lotusroute.net.startup import Posting
@@ -116,7 +114,6 @@
         self.ended: deque[tuple[float, str]] = deque()  # ids with their ends; each leaves after REMEMBERED
         self.next = 0
         self.dials: dict[str, tuple[str, int]] = {}  # leave with their server
-        self.probers: dict[str, Prober] = {}  # leave with their server
         self.delays: dict[str, list[float]] = {}  # answers timed since the last look, which empties it
         self.slow: set[str] = set()  # servers noted as slow; leave when noted as well again, or gone
         self.room = 1
@@ -356,12 +353,6 @@
     def _timed(self, event: Timed) -> None:
         self.delays.setdefault(event.server, []).append(event.delay)
 
-    def _reported(self, event: Reported) -> None:
-        self.counts["probes_answered"] += event.ok
-        if LOG.isEnabledFor(10):
-            say("probed", 10, server=event.server, ok=event.ok, loads=event.loads)
-        self._decide(i.Probed(event.server, event.ok, event.loads))
-
     def _listed(self, event: Listed) -> None:
         self.counts["lists"] += 1
         if event.scope != i.CHANGES:
@@ -376,8 +367,6 @@
                 self.draining[server.id] = self.clock() + DRAIN_SPREAD
                 self._step_on()
         self.dials.update(event.dials)
-        for server in [s for s in self.probers if s not in self.dials]:
-            self.probers.pop(server).close()
         self.slow &= self.dials.keys()
         self.draining = {s: until for s, until in self.draining.items() if s in self.dials}
         if LOG.isEnabledFor(10):
@@ -459,20 +448,11 @@
     def _wake_me(self, action: i.WakeMe) -> None:
         self._later(action.delay, i.Wake(action.mark))
 
-    def _probe(self, action: i.Probe) -> None:
-        if action.server in self.dials:
-            prober = self.probers.get(action.server)
-            if prober is None or prober.address != self.dials[action.server]:
-                prober = Prober(action.server, self.dials[action.server], self.put)
-                self.probers[action.server] = prober
-            self.counts["probes"] += 1
-            prober.probe()
-
     def _say(self, action: i.Say) -> None:
         say(action.line)
 
     def _nothing(self, action: i.Action) -> None:
-        """Discovery watches by itself, and there are no messages between balancers."""
+        """Discovery watches by itself."""
 
     def _answer(self, held: _Held, words: bytes) -> None:
         self._drop(held)
@@ -545,12 +525,12 @@
 
     _on = {
         Asked: _asked, Answered: _answered, Fell: _fell, Overdue: _overdue, Left: _left, Loaded: _loaded,
-        Timed: _timed, Reported: _reported, Listed: _listed, Again: _again, Gone: _gone, Look: _look,
+        Timed: _timed, Listed: _listed, Again: _again, Gone: _gone, Look: _look,
         Step: _step,
         i.Wake: _decide, i.Withdrawn: _decide,
     }  # fmt: skip
     _do = {
         i.Connect: _connect, i.Reject: _reject, i.Abort: _abort, i.Move: _move, i.WakeMe: _wake_me,
-        i.Probe: _probe, i.Say: _say, i.Subscribe: _nothing, i.Tell: _nothing,
+        i.Say: _say, i.Subscribe: _nothing,
     }  # fmt: skip
 
--- a/lotusroute/net/servers.py
+++ b/lotusroute/net/servers.py
@@ -1,8 +1,8 @@
 """The side of the servers.
 
-Owns every connection to a server: one for each connect, one a server for probes, and what a server's
-lines mean. How a connect ended is a value, an `interface` result that says how far it had come; no
-exception leaves this file. It must never choose a server, try again, or speak to a client but to pass on.
+Owns every connection to a server, one for each connect, and what a server's lines mean. How a connect
+ended is a value, an `interface` result that says how far it had come; no exception leaves this file. It must
+never choose a server, try again, or speak to a client but to pass on.
 """
 
 from collections import deque
@@ -13,11 +13,10 @@
 from twisted.internet.protocol import ClientFactory
 
 from lotusroute import interface as i
-from lotusroute.net.lines import BUSY, BYE, END, LOAD, MOVE, PONG, STATS, UP, SliceReceiver, word
+from lotusroute.net.lines import BUSY, BYE, LOAD, MOVE, UP, SliceReceiver, word
 from lotusroute.vip import Malformed, number
 
 UNANSWERED = 64  # client lines whose answers are timed at once; those of two minutes
-PROBE_TIMEOUT = 500.0  # ms for a probe's answer; later it says nothing of now
 
 # How far a connect has come.
 CONNECTING, WRITING, WRITTEN, STANDING, OVER = range(5)
@@ -53,14 +52,6 @@
     delay: float
 
 
-class Reported(NamedTuple):
-    """A probe ended."""
-
-    server: str
-    ok: bool
-    loads: dict[str, float]
-
-
 class _Opening:
     """Pull producer that writes what a socket did not take of a connect's line at once, and learns when its
     last byte is written."""
@@ -250,79 +241,3 @@
     def silent(self, now: float) -> float:
         """For how long the server has brought nothing though a line waits, in ms."""
         return now - max(self.side.asked[0], self.side.heard) if self.side.asked else 0.0
-
-
-def loads(line: memoryview) -> dict[str, float]:
-    """Read the load report behind the first word of a probe's answer.
-
-    >>> loads(memoryview(b"PONG util:0.5,x0:0.75" + END)), loads(memoryview(b"PONG" + END))
-    ({'util': 0.5, 'x0': 0.75}, {})
-    """
-    found = {}
-    for pair in str(line, "utf-8", "replace").replace(",", " ").split()[1:]:
-        name, _, value = pair.replace("=", ":").partition(":")
-        try:
-            found[name] = number(value)
-        except Malformed:
-            continue
-    return found
-
-
-class ProbeSide(SliceReceiver):
-    """The connection over which one server is probed; it stays open from probe to probe."""
-
-    factory: "Prober"
-
-    def connectionMade(self) -> None:
-        super().connectionMade()
-        self.factory.side = self
-        self.ask()
-
-    def ask(self) -> None:
-        self.setTimeout(PROBE_TIMEOUT / 1000)
-        self.transport.write(STATS + END)
-
-    def lineReceived(self, line: memoryview) -> None:
-        self.setTimeout(None)
-        self.factory.told(word(line) == PONG, loads(line))
-
-    def otherEnded(self) -> None:
-        self.transport.loseConnection()
-
-    def lost(self, clean: bool) -> None:
-        self.factory.side = None
-        self.factory.told(False, {})
-
-
-class Prober(ClientFactory):
-    """Probes one server, one probe at a time."""
-
-    noisy = False
-    protocol = ProbeSide
-
-    def __init__(self, server: str, address: tuple[str, int], put: Callable) -> None:
-        self.server, self.address, self.put = server, address, put
-        self.side: ProbeSide | None = None
-        self.due = False
-
-    def probe(self) -> None:
-        if self.due:
-            return
-        self.due = True
-        if self.side is not None:
-            self.side.ask()
-        else:
-            reactor.connectTCP(*self.address, self, timeout=PROBE_TIMEOUT / 1000)
-
-    def told(self, ok: bool, found: dict[str, float]) -> None:
-        if self.due:
-            self.due = False
-            self.put(Reported(self.server, ok, found))
-
-    def clientConnectionFailed(self, connector, reason) -> None:
-        self.told(False, {})
-
-    def close(self) -> None:
-        self.due = False
-        if self.side is not None:
-            self.side.transport.abortConnection()
--- a/lotusroute/net/startup.py
+++ b/lotusroute/net/startup.py
@@ -110,8 +110,8 @@
         memory_mb=figure("limits.memory_mb", limits.get("memory_mb"), MEMORY),
         tenants=frozenset(env[key] for key in env if re.fullmatch(r"tenants\.\d+\.name", key)),
         known=known,
-        # The protocol has no messages between balancers, and no frame in which a server says it is slow.
-        vip=vip._replace(peers=False, tells_delay=False),
+        # The protocol has no frame in which a server says it is slow.
+        vip=vip._replace(tells_delay=False),
         come_up=figure("settings.limits.connect_timeout", env.get("limits.connect_timeout"),
                        COME_UP),
         longest=max(figure(f"settings.{path}", env.get(path), LONGEST) for path in deadlines),
--- a/lotusroute/vip.py
+++ b/lotusroute/vip.py
@@ -85,20 +85,14 @@
             window=get(path + "window"),
         )
     targets = [number(part) for part in env.get("family_info.message_aim", "").split(",") if part]
-    probes = flag("limits.probes") and env.get("report.source", "silent") != "silent"
     return i.Vip(
         service_types=service_types,
         me=int(get("me")),
         siblings=max(1, int(get("siblings", 1))),
         shares_work=flag("family_info.groups"),
         sizes_hold=env.get("weights", "silent") in ("nominal", "rough"),
-        asks=probes,
-        probes=probes,
         tells_delay=flag("family_info.tells_delay"),
         message_target=min(targets, default=0.0),
-        probe_price=get("deductions.probe"),
-        peer_price=get("deductions.peer"),
-        peers=flag("limits.peers"),
         must_ask=env.get("discovery") == "ask",
         ask_every=get("rules.ask_every", 10_000.0),
         max_connects=max(1, int(get("limits.max_connects", 1))),
