--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -64,6 +64,7 @@
 THOUGHT = 1.0  # flows a tick thought in: a balancer that sees one in three ticks took each for a crowd
 ROUND = 3_000.0  # ms: in which the turn at a cold server passes all balancers; the time in which one falls
 LUMP = 2.0  # times the mean that one server may be asked for by a large group; 1 broke the rule
+CROWD = 4.0  # the same at a jammed one: a crowd comes to it, and 2 refilled it before it had drained
 RATE_GAIN = 0.1  # share: arrivals are averaged over about ten ticks
 BACK_OFF = 500.0  # ms: first wait after a refused call to the list; doubles up to half of ask_every
 MIX, MASK = 0xBF58476D1CE4E5B9, (1 << 64) - 1  # the odd multiplier of SplitMix64; any will do
@@ -520,8 +521,9 @@
     def _turn(self, host: _Host, bears: float, returned: bool) -> bool:
         """One flow while the turn is this balancer's. Turns pass by own number, each such a part of a round
         as the server bears, in multiples of what a warm one gets. 377 that waited for all left 555 idle."""
-        turn = bears / LUMP
-        if self._cold(host):
+        cold = self._cold(host)
+        turn = bears / (LUMP if cold else CROWD)
+        if cold:
             # Its own part of the budget, which with few balancers is most of what a crowd leaves.
             pace = self.rate * self.vip.siblings / TICK * bears * host.size / max(self.capacity, host.size)
             number = self.vip.siblings if host.turns else self.vip.me + 1
@@ -535,7 +537,7 @@
                 turn *= (self.rate + THOUGHT) / (max(self.asks, self.asked, self.rate) + THOUGHT)
         # One flow a turn is a crumb of hundreds a second: where the pace brings several, it alone counts.
         own = max(self.rate, self.arrived) / TICK * bears * host.size / self.capacity
-        if own * ROUND > LUMP and not self._cold(host):
+        if own * ROUND > CROWD and not cold:
             host.turn, due = (self.now, True) if self.now >= host.turn + 1 / own else (host.turn, False)
             return due
         passed = (self.vip.me / self.vip.siblings + self.now / ROUND) % 1
