--- a/lotusroute/net/startup.py
+++ b/lotusroute/net/startup.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import os
 import re
 from collections.abc import Mapping
 from typing import NamedTuple
@@ -60,14 +61,31 @@
     path = environ.get("LB_CONFIG")
     if not path:
         raise Malformed("LB_CONFIG: not set")
+    try:
+        told = load(path)
+    except Malformed as fault:
+        raise Malformed(f"LB_CONFIG: {fault}") from None
+    return posting(told, environ, anew)
+
+
+def load(path: str | os.PathLike) -> dict:
+    """Read the file, as far as that it is a JSON object."""
     try:
         with open(path, encoding="utf-8") as file:
             told = json.load(file)
     except (OSError, ValueError) as fault:
-        raise Malformed(f"LB_CONFIG: {fault}") from None
+        raise Malformed(str(fault)) from None
     if not isinstance(told, dict):
-        raise Malformed("LB_CONFIG: not a JSON object")
-    env = dict(flatten(told.get("settings") or {}))
+        raise Malformed("not a JSON object")
+    return told
+
+
+def posting(told: dict, environ: Mapping[str, str], anew: bool = False) -> Posting:
+    """Check what a file tells, beside what the environment does."""
+    settings = told.get("settings") or {}
+    if not isinstance(settings, dict):
+        raise Malformed("settings: not a JSON object")
+    env = dict(flatten(settings))
 
     def text(key: str) -> str:
         said = environ.get(f"LB_{key.upper()}"), told.get(key)
@@ -89,9 +107,12 @@
         return value
 
     vip = checked("settings", decode_vip, env)
-    if not vip.service_types:
+    types = settings.get("service_types")
+    if not (vip.service_types and isinstance(types, list)):
         raise Malformed("settings.service_types: none given")
-    deadlines = (f"service_types.{at}.deadline" for at in range(len(vip.service_types)))
+    if "" in vip.service_types or len(vip.service_types) < len(types):
+        raise Malformed("settings.service_types: each needs a name of its own")
+    deadlines = (f"service_types.{at}.deadline" for at in range(len(types)))
     known = told.get("known") or {"seq": 0, "hosts": []}
     if not (isinstance(known, dict) and isinstance(known.get("hosts"), list)):
         raise Malformed("known: not a server list")
--- a/lotusroute/vip.py
+++ b/lotusroute/vip.py
@@ -8,6 +8,7 @@
 
 from lotusroute import interface as i
 
+FLAGS = {"true": True, "false": False}
 KINDS = {"read_like": i.REPEATABLE, "idempotency_key": i.REFERENCED, "non_idempotent": i.ONCE_ONLY}
 
 
@@ -66,15 +67,28 @@
     {'live': ServiceType(setup_target=0.0, kind='repeatable', group='all', window=0.0)}
     """
 
-    def get(path: str, default: float = 0.0) -> float:
+    def get(path: str, default: float = 0.0, least: float = 0.0, most: float = math.inf) -> float:
         try:
-            return number(env[path]) if path in env else default
+            value = number(env[path]) if path in env else default
         except Malformed as fault:
             raise Malformed(f"{path}: {fault}") from None
+        if not least <= value <= most:
+            raise Malformed(f"{path}: {value:g} is not between {least:g} and {most:g}")
+        return value
 
     def flag(path: str) -> bool:
-        return env.get(path) == "true"
+        return one_of(FLAGS, env.get(path, "false"), f"{path}, which is true or false:")
 
+    # One figure a service type: the wire joins them with commas, nested JSON tells their number.
+    targets = env.get("family_info.message_aim", "").split(",")
+    targets += [env.get(f"family_info.message_aim.{at}", "") for at in range(int(
+        get("family_info.message_aim.count")))]  # fmt: skip
+    try:
+        message_target = min((number(text) for text in targets if text), default=0.0)
+    except Malformed as fault:
+        raise Malformed(f"family_info.message_aim: {fault}") from None
+    if message_target < 0:
+        raise Malformed(f"family_info.message_aim: {message_target:g} is under 0")
     service_types = {}
     for at in range(int(get("service_types.count"))):
         path = f"service_types.{at}."
@@ -84,20 +98,19 @@
             group=env.get(path + "group", "all"),
             window=get(path + "window"),
         )
-    targets = [number(part) for part in env.get("family_info.message_aim", "").split(",") if part]
     return i.Vip(
         service_types=service_types,
         me=int(get("me")),
-        siblings=max(1, int(get("siblings", 1))),
+        siblings=int(get("siblings", 1, least=1)),
         shares_work=flag("family_info.groups"),
         sizes_hold=env.get("weights", "silent") in ("nominal", "rough"),
         tells_delay=flag("family_info.tells_delay"),
-        message_target=min(targets, default=0.0),
+        message_target=message_target,
         must_ask=env.get("discovery") == "ask",
         ask_every=get("rules.ask_every", 10_000.0),
-        max_connects=max(1, int(get("limits.max_connects", 1))),
+        max_connects=int(get("limits.max_connects", 1, least=1)),
         max_retry_after=get("limits.max_retry_after") if flag("limits.retry_after") else 0.0,
-        cold_from=get("rules.cold_from", 1.0),
+        cold_from=get("rules.cold_from", 1.0, most=1.0),
         warm_after=get("rules.warm_after"),
         tip_multiple=get("rules.tip_multiple", 1.0),
     )
