--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -27,6 +27,8 @@
 R = 0.8  # ratio: the paper's value; 0.6 to 0.9 measured alike
 FEW = 4  # connections: under this the busiest server is left alone, chance rules such counts
 DEPTH = 4  # servers of a segment's order it may spill over: more scatter groups that share work
+JAMMED_DEPTH = 2  # the same while much of the fleet is jammed
+JAMMED = 0.5  # share of servers: what much of the fleet means; 0.75 cost 0.03 on overloaded days, more on none
 DOUBT = 0.75  # share of returning clients that pass by a server of which nothing is known; 0.5 did less
 TICK = 1_000.0  # ms: upkeep; as often as servers speak of slow messages
 CHECK = 5  # ticks: the design's 5 s between checks; each tick where no server says it is slow
@@ -148,6 +150,7 @@
         self.counts: dict[int, int] = {}  # own flows by segment; a segment leaves at 0
         self.held: dict[int, _Held] = {}  # flows not finished; each leaves with its end
         self.ticks = 0
+        self.depth = DEPTH  # of spilling, by the last tick's look at the fleet
         self.failed = self.stood = 0.0  # connects that failed (or were not made) and that stood
         self.arrived = self.asked = 0  # since the last tick: first arrivals, and all flows
         self.rate = self.asks = 0.0  # the same a tick
@@ -288,7 +291,7 @@
         if entry is not None:
             order = [entry, *(host for host in order if host is not entry)]
         hot = aside = doubted = mild = None
-        steps = DEPTH
+        steps = self.depth
         for host in order:
             # A cold server is no step: when a fleet grew fourfold all four were cold, and flows were refused.
             cold = self._cold(host)
@@ -581,6 +584,8 @@
         for host in self.sick.values():
             if host.open and max(host.hot, host.sure) > self.now >= host.moved + MOVE_EVERY:
                 self._move_off(host)
+        # Where much of the fleet is jammed, scattered groups cost more than the spill relieves.
+        self.depth = DEPTH if len(self.sick) <= JAMMED * len(self.ready) else JAMMED_DEPTH
         if self.untold or not self.ticks % CHECK:
             self._check()
 
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -156,6 +156,18 @@
     assert isinstance(host.ask(), i.Reject)
 
 
+def test_spilling_is_shallower_while_the_fleet_is_jammed():
+    # i44d241, i60ba31: with every server jammed, spilled groups jammed the next ones.
+    host = FakeHost(8, tells_delay=True)
+    for server in list(host.director.hosts.values())[:7]:
+        server.mild = 90_000.0
+        host.director.sick[server.id] = server
+    host.wait(1000.0)
+    for _ in range(2):
+        host.tell(i.DelayNoted(host.ask().server, 500.0))
+    assert isinstance(host.ask(), i.Reject)
+
+
 def test_a_crowd_of_returning_clients_is_let_in_by_turns():
     # i7b0290: 1,200 joins a second, each reset within half a second.
     host = FakeHost(1)
