--- a/lotusroute/migrate.py
+++ b/lotusroute/migrate.py
@@ -138,7 +138,7 @@
         again = [path for path in OF_THE_OLD if get(old, path) is not None and path not in given]
     for path, value in given.items():
         put(new, path, value)
-    return new, Report(dropped, again, [path for path in paths(old) if not KNOWN.fullmatch(path)])
+    return new, Report(dropped, again, [path for path in paths(new) if not KNOWN.fullmatch(path)])
 
 
 def setting(text: str) -> tuple[str, object]:
--- a/tests/test_migrate.py
+++ b/tests/test_migrate.py
@@ -46,6 +46,8 @@
                 "my_zone", "family_info.report_x0"):  # fmt: skip
         assert f"  settings.{key} " in out and f"  settings.{key} " in dry
     assert "known: 1 servers" in out and "  settings.rules.warm_after\n" in out
+    assert move(old, "--dry-run", "--set", "settings.rules.warmafter=5") == 0  # misspelt: told, not lost
+    assert "  settings.rules.warmafter\n" in capsys.readouterr().out
     assert "  settings.siblings\n" in dry and "  settings.siblings\n" not in out
     assert "  api_key\n" in out and "  settings.odd.token\n" in out and "s3cret" not in out
     new = json.loads(old.with_name("new.json").read_text())
