Two servers that drain at once are both emptied; a refused watch keeps its version

Checked and dropped: that the agent is silent (it answers 503 in 5 ms). At fault: Owner._step; Discovery._call (seq dropped on any status), PATIENCE, FIRST_PAUSE; Standing.follow (known.seq unread). Now: looked up anew for each server; a refusal keeps the version, waits 0.5 s and more with a wide spread, 3 s for an answer; a start watches from the version that is remembered; changes older than what is held mean the whole list, named in the log.

--- a/lotusroute/__main__.py
+++ b/lotusroute/__main__.py
@@ -20,7 +20,7 @@
 from lotusroute import interface
 from lotusroute.net import log, startup
 from lotusroute.net.clients import Clients, Door
-from lotusroute.net.discovery import Discovery, listed
+from lotusroute.net.discovery import Discovery, listed, version
 from lotusroute.net.owner import Owner
 from lotusroute.vip import Malformed
 
@@ -75,10 +75,15 @@
         self.discovery: Discovery | None = None
 
     def follow(self) -> None:
-        """Follow discovery from the beginning, at the address last told."""
-        if self.discovery is not None:
+        """Follow discovery at the address last told: at the start from the list that is remembered, else from
+        the beginning, for another address may count its versions in its own way."""
+        seq = None
+        if self.discovery is None:
+            seq = _remembered_seq(self.posting)
+        else:
             self.discovery.close()
-        self.discovery = Discovery(self.posting.discovery, self.posting.seed, self.owner.put, self.counts)
+        where, seed = self.posting.discovery, self.posting.seed
+        self.discovery = Discovery(where, seq, seed, self.owner.put, self.counts)
         defer.ensureDeferred(self.discovery.follow())
 
     def read_anew(self) -> None:
@@ -106,5 +111,14 @@
         raise Malformed(f"known: {type(fault).__name__} {fault}") from None
 
 
+def _remembered_seq(posting: startup.Posting) -> int | None:
+    """Of a list that is remembered whole; anything else is named, and the whole list asked for."""
+    try:
+        return version(posting.known.get("seq")) if posting.known["hosts"] else None
+    except Malformed as fault:
+        log.say("remembered list without a version", logging.WARNING, why=str(fault))
+        return None
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/lotusroute/net/discovery.py
+++ b/lotusroute/net/discovery.py
@@ -1,8 +1,9 @@
 """The server list.
 
-Owns the calls to discovery at one address: the whole list once, then one watch after the other, without a
-gap, and the back-off when it fails or is silent. It must never decide what a list means for a flow, hold the
-start up, act on an answer that is not a list, or tell anything once it is closed.
+Owns the calls to discovery at one address: one watch after the other, without a gap, from the version that is
+held, the whole list where none is, and the back-off when discovery fails, refuses or is silent. It must never
+decide what a list means for a flow, hold the start up, act on an answer that is not a list, ask for more than
+it lacks, or tell anything once it is closed.
 """
 
 import contextlib
@@ -21,10 +22,13 @@
 
 STATES = {"SERVING": i.READY, "DRAINING": i.DRAINING, "DELETED": i.GONE}
 HOLD = 4_000  # ms that a watch waits: so long a call may hang unnoticed when the agent falls silent
-PATIENCE = 1.5  # s beyond the wait for an answer from the own machine
+PATIENCE = 3.0  # s beyond the wait for an answer: calls of many balancers stand in line for 2 s before they fail
 FIRST_PAUSE = 0.1  # s after a failed call: under the 200 ms in which a watch goes on
+REFUSED_PAUSE = 0.5  # s after a refused one: a call from each of 40 balancers takes discovery 2 to 8 s
+SPREAD = 0.2  # share of a pause that is waited at least; the rest is drawn, so that 40 refused come one by one
 LONGEST_PAUSE = 2.0  # s: a list has to be known within seconds of being there
-CALL, ANSWER, BODY = "no answer", "an answer in part", "an answer that is no list"
+CALL, ANSWER, REFUSAL, BODY = "no answer", "an answer in part", "a refusal", "an answer that is no list"
+REFUSALS = 429, 502, 503, 504  # statuses that say nothing of the version asked from
 
 
 class Listed(NamedTuple):
@@ -62,16 +66,27 @@
     return Listed(scope, tuple(servers), dials)
 
 
+def version(seq: object) -> int:
+    """Check a list's version.
+
+    >>> version(41)
+    41
+    """
+    if isinstance(seq, bool) or not isinstance(seq, int) or seq < 0:
+        raise Malformed(f"seq: {seq!r} is no version")
+    return seq
+
+
 class Discovery:
     """Follows the server list and puts what it learns into the owner's queue."""
 
-    def __init__(self, where: tuple[str, int], seed: int, put: Callable, counts) -> None:
+    def __init__(self, where: tuple[str, int], seq: int | None, seed: int, put: Callable, counts) -> None:
         self.base = f"http://{where[0]}:{where[1]}/api/targets"
         self.put, self.counts = put, counts
         self.chance = random.Random(seed)
         self.pool = HTTPConnectionPool(reactor)
         self.agent = Agent(reactor, connectTimeout=PATIENCE, pool=self.pool)
-        self.seq: int | None = None  # None: the whole list is needed
+        self.seq = seq  # of the list that is held; None: the whole list is needed
         self.waiting: defer.Deferred | None = None  # the call or the pause in hand
         self.closed = False
 
@@ -98,7 +113,9 @@
             self.counts["discovery_failed"] += 1
             if pause == FIRST_PAUSE:
                 say("discovery failed", reached=news.reached, why=news.why)
-            self.waiting = task.deferLater(reactor, pause * self.chance.uniform(0.5, 1.0))
+            if news.reached == REFUSAL:
+                pause = max(pause, REFUSED_PAUSE)
+            self.waiting = task.deferLater(reactor, pause * self.chance.uniform(SPREAD, 1.0))
             with contextlib.suppress(defer.CancelledError):
                 await self.waiting
             pause = min(2 * pause, LONGEST_PAUSE)
@@ -115,12 +132,17 @@
             reached = ANSWER
             body = await self._within(readBody(answer), PATIENCE)
             reached = BODY
+            if answer.code in REFUSALS:
+                # Forty that were refused a watch asked for all lines instead, and none got a list all day.
+                return Failed(REFUSAL, f"status {answer.code}")
             if answer.code != 200:
-                self.seq = None
-                return Failed(reached, f"status {answer.code}")
+                raise Malformed(f"status {answer.code}")
             told = json.loads(body)
             news = listed(told, i.WHOLE if told["whole"] else i.CHANGES)
-            self.seq = int(told["seq"])
+            seq = version(told["seq"])
+            if news.scope == i.CHANGES and (self.seq is None or seq < self.seq):
+                raise Malformed(f"changes up to {seq} of a list held at {self.seq}")
+            self.seq = seq
             return news
         except (KeyError, TypeError, ValueError, AttributeError, Malformed) as fault:
             self.seq = None
--- a/lotusroute/net/owner.py
+++ b/lotusroute/net/owner.py
@@ -479,14 +479,17 @@
 
     def _step(self, _: Step) -> None:
         self.stepping, now = False, self.clock()
-        up = [held for held in self.flows.values() if held.up and not held.left]
         for server, until in self.draining.items():
-            self._send_away([held for held in up if held.link.server == server], until - now)
+            # Looked up anew for each: the first of two that drained at once had left none to the second.
+            self._send_away([held for held in self._standing() if held.link.server == server], until - now)
         if self.stopping:
-            self._stop_on(now - self.stopping, [held for held in up if held.link is not None])
+            self._stop_on(now - self.stopping, self._standing())
         elif any(held.link.server in self.draining for held in self.flows.values() if held.link):
             self._step_on()
 
+    def _standing(self) -> list[_Held]:
+        return [held for held in self.flows.values() if held.up and not held.left]
+
     def _send_away(self, up: list[_Held], left: float) -> None:
         """Move as many of them as brings all away in the time left, so that the others see no crowd."""
         for held in up[: math.ceil(len(up) / max(1.0, left / STEP))]:
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -125,7 +125,8 @@
 
 
 class FakeList(http.server.BaseHTTPRequestHandler):
-    """Discovery, as far as its server's `entries` and `seq` go; silent while `seq` is 0."""
+    """Discovery, as far as its server's `entries` and `seq` go; silent while `seq` is 0. It keeps what was
+    `asked` for and when, turns as many calls away as `refuses` says, and takes `slow` s for the others."""
 
     protocol_version = "HTTP/1.1"
 
@@ -133,6 +134,14 @@
         asked = dict(p.split("=") for p in self.path.partition("?")[2].split("&") if p)
         until = time.monotonic() + float(asked.get("hold_ms", 0)) / 1000
         fleet = self.server
+        fleet.asked.append((time.monotonic(), asked.get("from")))
+        if fleet.refuses:
+            fleet.refuses -= 1
+            self.send_response(503)
+            self.send_header("Content-Length", "0")
+            self.end_headers()
+            return
+        time.sleep(fleet.slow)
         while not fleet.seq or (fleet.seq <= int(asked.get("from", -1)) and time.monotonic() < until):
             time.sleep(0.01)
         hosts = fleet.entries if fleet.seq > int(asked.get("from", -1)) else []
@@ -152,6 +161,7 @@
     fleet = http.server.ThreadingHTTPServer(("127.0.0.1", 0), FakeList)
     fleet.daemon_threads = True
     fleet.entries, fleet.seq = [s.entry() for s in servers], int(listed)
+    fleet.asked, fleet.refuses, fleet.slow = [], 0, 0.0
     threading.Thread(target=fleet.serve_forever, daemon=True).start()
     return fleet
 
@@ -159,13 +169,14 @@
 class Balancer:
     """The program itself, its discovery and its clients."""
 
-    def __init__(self, *servers, settings=SETTINGS, sockets=1024, listed=True, env=()):
+    def __init__(self, *servers, settings=SETTINGS, sockets=1024, listed=True, env=(), known=0, **discovery_is):
         self.list, self.asks = discovery(*servers, listed=listed), 0
+        vars(self.list).update(discovery_is)
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
         self.told = {"name": "n1", "listen": f"127.0.0.1:{self.port}", "seed": "5eed", "settings": settings,
                      "discovery": f"127.0.0.1:{self.list.server_port}", "limits": {"sockets": sockets},
-                     "known": {"seq": 0, "whole": True, "hosts": [s.entry() for s in servers]}}  # fmt: skip
+                     "known": {"seq": known, "whole": True, "hosts": [s.entry() for s in servers]}}  # fmt: skip
         self.folder = tempfile.TemporaryDirectory()
         self.file = pathlib.Path(self.folder.name, "config.json")
         self.file.write_text(json.dumps(self.told))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -118,6 +118,38 @@
         soon(lambda: balancer.ask().readline() == b"UP one\r\n")
 
 
+def test_turned_away_by_discovery_it_asks_again_for_what_it_lacks_alone_and_later_each_time():
+    with Balancer(FakeServer("s1"), refuses=3) as balancer:
+        soon(lambda: len(balancer.list.asked) == 4)
+        times, versions = zip(*balancer.list.asked, strict=True)
+        # Forty that asked for the whole list instead, at once, kept discovery from serving any of them.
+        assert versions == ("0",) * 4 and times[3] - times[0] > 0.2 * (0.5 + 1 + 2)
+
+
+def test_an_answer_that_stood_in_line_for_two_seconds_is_waited_for():
+    with Balancer(FakeServer("s1"), known=None, slow=2.2) as balancer:
+        soon(lambda: [version for _, version in balancer.list.asked] == [None, "1"])
+
+
+@pytest.mark.parametrize("known", [None, -1, "7", True, 1.5, 8])
+def test_a_remembered_version_that_is_none_or_newer_than_discoverys_means_the_whole_list(known):
+    with Balancer(FakeServer("s1"), known=known) as balancer:
+        assert balancer.ask().readline() == b"UP r1\r\n"
+        soon(lambda: [version for _, version in balancer.list.asked][known == 8:][:2] == [None, "1"])
+        assert ("without a version" if known != 8 else "changes up to 1 of a list held at 8") in balancer.end()
+
+
+def test_clients_of_two_servers_that_drain_at_once_are_all_moved_in_time():
+    servers = [FakeServer(f"s{at}", f"UP s{at}\r\n".encode()) for at in range(3)]
+    with Balancer(*servers) as balancer:
+        clients = [balancer.ask(at=f"s{at}") for at in (0, 1)]
+        assert [client.readline() for client in clients] == [b"UP s0\r\n", b"UP s1\r\n"]
+        balancer.list.entries = [servers[0].entry("DRAINING"), servers[1].entry("DRAINING")]
+        balancer.list.seq = 2
+        assert [client.readline() for client in clients] == [b"MOVE\r\n"] * 2
+        assert "event failed" not in balancer.end()
+
+
 def test_clients_of_a_draining_server_are_moved_before_it_leaves():
     one, two = FakeServer("s1", b"UP one\r\n"), FakeServer("s2", b"UP two\r\n")
     with Balancer(one) as balancer:
