On sockets returning clients keep to their segment's server; refusals wait 3 s and more

Seen (each choice traced across the fleet): join+vast, of 117 choices 34 passed by the segment's server since the client came back and the balancer held nothing there, and 16 groups went from 18 to 30 places as four servers drained; forty balancers hold nothing anywhere, so all did it to all. Checked and dropped: spill past cold servers (13), paced (4).

--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -308,8 +308,10 @@
             elif host.mild > self.now and not held.flow.mid_flow:
                 mild = mild or host
             elif (held.flow.returned and not held.flow.mid_flow and not host.open and not cold
-                  and self.chance.random() < DOUBT):
-                # Where siblings are many, clients cut off by a jammed server are the only news of it.
+                  and not self.untold and self.chance.random() < DOUBT):
+                # Where siblings are many, clients cut off by a jammed server are the only news of it. Not
+                # where set-ups tell: forty that each held next to nothing passed by the defaults of all who
+                # came from draining servers, and groups stood on twice as many servers.
                 doubted = host
             elif self._turn_taken(host, held.flow.returned):
                 return host
--- a/lotusroute/net/discovery.py
+++ b/lotusroute/net/discovery.py
@@ -22,11 +22,10 @@
 
 STATES = {"SERVING": i.READY, "DRAINING": i.DRAINING, "DELETED": i.GONE}
 HOLD = 4_000  # ms that a watch waits: so long a call may hang unnoticed when the agent falls silent
-PATIENCE = 3.0  # s beyond the wait for an answer: calls of many balancers stand in line for 2 s before they fail
-FIRST_PAUSE = 0.1  # s after a failed call: under the 200 ms in which a watch goes on
-REFUSED_PAUSE = 0.5  # s after a refused one: a call from each of 40 balancers takes discovery 2 to 8 s
+PATIENCE = 3.0  # s beyond the wait for an answer: calls of many stand in line for 2 s before they fail
+FAILED = 0.1, 2.0  # s, first and longest pause after a failed call: the first within the 200 ms of a watch
+REFUSED = 3.0, 12.0  # s, the same after a refusal: it costs discovery too, and 40 every second kept it busy
 SPREAD = 0.2  # share of a pause that is waited at least; the rest is drawn, so that 40 refused come one by one
-LONGEST_PAUSE = 2.0  # s: a list has to be known within seconds of being there
 CALL, ANSWER, REFUSAL, BODY = "no answer", "an answer in part", "a refusal", "an answer that is no list"
 REFUSALS = 429, 502, 503, 504  # statuses that say nothing of the version asked from
 
@@ -99,26 +98,25 @@
 
     async def follow(self) -> None:
         """Go on until closed, or for as long as the balancer runs."""
-        pause = FIRST_PAUSE
+        pause = 0.0
         while not self.closed:
             news = await self._call()
             if self.closed:
                 # What the old address still told is not put behind news from the new one.
                 return
             if isinstance(news, Listed):
-                pause = FIRST_PAUSE
+                pause = 0.0
                 if news.servers or news.scope == i.WHOLE:
                     self.put(news)
                 continue
             self.counts["discovery_failed"] += 1
-            if pause == FIRST_PAUSE:
+            if not pause:
                 say("discovery failed", reached=news.reached, why=news.why)
-            if news.reached == REFUSAL:
-                pause = max(pause, REFUSED_PAUSE)
+            first, longest = REFUSED if news.reached == REFUSAL else FAILED
+            pause = min(max(first, 2 * pause), longest)
             self.waiting = task.deferLater(reactor, pause * self.chance.uniform(SPREAD, 1.0))
             with contextlib.suppress(defer.CancelledError):
                 await self.waiting
-            pause = min(2 * pause, LONGEST_PAUSE)
 
     async def _call(self) -> Listed | Failed:
         """Ask once; whatever goes wrong comes back as a value."""
