--- a/lotusroute/net/discovery.py
+++ b/lotusroute/net/discovery.py
@@ -25,7 +25,7 @@
 PATIENCE = 3.0  # s beyond the wait for an answer: calls of many stand in line for 2 s before they fail
 FAILED = 0.1, 2.0  # s, first and longest pause after a failed call: the first within the 200 ms of a watch
 REFUSED = 3.0, 12.0  # s, the same after a refusal: it costs discovery too, and 40 every second kept it busy
-SPREAD = 0.2  # share of a pause that is waited at least; the rest is drawn, so that 40 refused come one by one
+SPREAD = 0.2  # share of a pause that is waited at least; the rest is drawn, that 40 refused come one by one
 CALL, ANSWER, REFUSAL, BODY = "no answer", "an answer in part", "a refusal", "an answer that is no list"
 REFUSALS = 429, 502, 503, 504  # statuses that say nothing of the version asked from
 
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -169,14 +169,14 @@
 class Balancer:
     """The program itself, its discovery and its clients."""
 
-    def __init__(self, *servers, settings=SETTINGS, sockets=1024, listed=True, env=(), known=0, **discovery_is):
+    def __init__(self, *servers, settings=SETTINGS, sockets=1024, listed=True, env=(), known=0, **list_is):
         self.list, self.asks = discovery(*servers, listed=listed), 0
-        vars(self.list).update(discovery_is)
+        vars(self.list).update(list_is)
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.port = free.getsockname()[1]
         self.told = {"name": "n1", "listen": f"127.0.0.1:{self.port}", "seed": "5eed", "settings": settings,
                      "discovery": f"127.0.0.1:{self.list.server_port}", "limits": {"sockets": sockets},
-                     "known": {"seq": known, "whole": True, "hosts": [s.entry() for s in servers]}}  # fmt: skip
+                     "known": {"seq": known, "hosts": [s.entry() for s in servers]}}  # fmt: skip
         self.folder = tempfile.TemporaryDirectory()
         self.file = pathlib.Path(self.folder.name, "config.json")
         self.file.write_text(json.dumps(self.told))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -120,8 +120,8 @@
 
 def test_turned_away_by_discovery_it_asks_again_later_and_for_what_it_lacks_alone():
     with Balancer(FakeServer("s1"), refuses=1) as balancer:
-        soon(lambda: len(balancer.list.asked) == 2)
-        times, versions = zip(*balancer.list.asked, strict=True)
+        soon(lambda: len(balancer.list.asked) > 1)
+        times, versions = zip(*balancer.list.asked[:2], strict=True)
         # Forty that asked for the whole list instead, at once, kept discovery from serving any of them.
         assert versions == ("0",) * 2 and times[1] - times[0] > 0.2 * 3
 
@@ -136,7 +136,8 @@
     with Balancer(FakeServer("s1"), known=known) as balancer:
         assert balancer.ask().readline() == b"UP r1\r\n"
         soon(lambda: [version for _, version in balancer.list.asked][known == 8:][:2] == [None, "1"])
-        assert ("without a version" if known != 8 else "changes up to 1 of a list held at 8") in balancer.end()
+        named = "without a version" if known != 8 else "changes up to 1 of a list held at 8"
+        assert named in balancer.end()
 
 
 def test_clients_of_two_servers_that_drain_at_once_are_all_moved_in_time():
