--- a/lotusroute/adapter/wire.py
+++ b/lotusroute/adapter/wire.py
@@ -42,8 +42,7 @@
             raise Malformed(f"'{part}' is not a setting")
         if value not in ("null", "-"):
             env[path] = value
-    # The simulated wire's probes are not asked for: its servers tell their delays.
-    return decode_vip(env)._replace(probes=False)
+    return decode_vip(env)
 
 
 def row(parts: list[str]) -> i.Server:
--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -6,13 +6,12 @@
 
 The design: a client's key hashes to a segment, a segment has a default server by highest hash, shared
 by all balancers (a large one several); when usage is uneven one moves from the busiest to the idlest.
-Beside it stand six mechanisms, the smallest departures that were found to work:
+Beside it stand five mechanisms, the smallest departures that were found to work:
   1. set-aside      a server that fails connects gets nothing for a fixed time with a random part
   2. spill          a jammed server passes new flows down the segment's hash order, a few steps at most
   3. turns          balancers take turns at cold and jammed servers, which get no more than they can bear
   4. further tries  a failed connect goes down the hash order, unless most connects fail wherever they go
   5. polite moves   connections leave an overdriven server, the heaviest first
-  6. probes         a server that holds connections is asked whether it serves; one that errs is left by all
 """
 
 import math
@@ -59,8 +58,6 @@
 AFTER = 20_000.0  # ms: half of what connections live; filled again at once it jammed again and again
 MOVE_SHARE = 0.15  # share of own connections that leave at a time, times how late messages are
 UNTOLD = 0.34  # the same where no server says that its messages are slow: what set-ups show is late and large
-PROBE_EVERY = 2_000.0  # ms between probes of a server: it was left 11 s late by connects alone
-ERRING = 0.5  # share of servers: where more err, leaving one helps nobody
 PACE = 0.5  # times the mean first arrivals that a server jammed just now gets while it recovers
 DOUBLING = 4_000.0  # ms without a sign of trouble after which that pace doubles
 RECOVERY = 12_000.0  # ms without a sign of trouble until a jammed server counts as well
@@ -99,7 +96,7 @@
 
     __slots__ = ("id", "word", "zone", "cell", "state", "size", "started", "listed",
                  "open", "bad", "aside", "hot", "turn", "own_turn", "turns", "weak",
-                 "moved", "delay", "probed",
+                 "moved", "delay",
                  "setup", "last", "mild", "sure", "late", "signs", "sign_at", "sound")  # fmt: skip
 
     def __init__(self, line: i.Server, now: float) -> None:
@@ -108,7 +105,6 @@
         self.word = _word(line.id)
         self.open: dict[int, _Held] = {}  # own connections, emptied as each ends
         self.bad = self.aside = self.hot = self.weak = self.moved = self.delay = 0.0
-        self.probed = now  # when it was last probed
         self.size = 1.0  # what it counts by listed size
         self.setup: _Mean | None = None  # ms that set-ups took
         self.last: _Mean | None = None  # and the last few
@@ -597,33 +593,11 @@
         for host in self.sick.values():
             if host.open and max(host.hot, host.sure) > self.now >= host.moved + MOVE_EVERY:
                 self._move_off(host)
-        if self.untold and self.vip.probes:
-            self._probe()
         # Where much of the fleet is jammed, scattered groups cost more than the spill relieves.
         self.depth = DEPTH if len(self.sick) <= JAMMED * len(self.ready) else JAMMED_DEPTH
         if self.untold or not self.ticks % CHECK:
             self._check()
 
-    def _probe(self) -> None:
-        """Ask servers that hold connections whether they serve: of 27 that stood at one that erred for 11 s
-        most belonged to balancers that had nothing to connect there. Cold ones have enough to do."""
-        for host in self.ready:
-            due = self.now >= host.probed + PROBE_EVERY and host.aside <= self.now
-            if due and not self._cold(host) and any(held.up for held in host.open.values()):
-                host.probed = self.now
-                self.out.append(i.Probe(host.id))
-
-    def _probed(self, event: i.Probed) -> None:
-        host = self.hosts.get(event.server)
-        if host is None or event.serves:
-            return
-        self._blame(host, 1.0)
-        if sum(h.aside > self.now for h in self.ready) > ERRING * len(self.ready):
-            return
-        for held in [held for held in host.open.values() if held.up]:
-            held.up = False
-            self.out.append(i.Move(held.flow.id))
-
     def _move_off(self, host: _Host) -> None:
         host.moved = self.now
         able = [h for h in host.open.values() if h.up]
@@ -649,5 +623,5 @@
     _on = {
         i.ServerList: _server_list, i.Flow: _flow, i.AlreadyOpen: _already_open, i.Established: _established,
         i.Ended: _ended, i.Withdrawn: lambda me, event: me._finish(me.held.get(event.id)), i.Wake: _wake,
-        i.LoadNoted: _load_noted, i.DelayNoted: _delay_noted, i.Probed: _probed,
+        i.LoadNoted: _load_noted, i.DelayNoted: _delay_noted,
     }  # fmt: skip
--- a/lotusroute/interface.py
+++ b/lotusroute/interface.py
@@ -34,7 +34,6 @@
     sizes_hold: bool = True  # listed sizes stay the same between lists
     tells_delay: bool = False  # servers say when their messages are slow
     message_target: float = 0.0  # ms, the least within which a service type wants its messages; 0 untold
-    probes: bool = False  # a server may be asked whether it serves
     must_ask: bool = False  # the server list comes only when asked for
     ask_every: float = 10_000.0
     max_connects: int = 1
@@ -118,13 +117,6 @@
     delay: float
 
 
-class Probed(NamedTuple):
-    """A server has answered a `Probe`: whether it serves."""
-
-    server: str
-    serves: bool
-
-
 class Wake(NamedTuple):
     """A wake-up asked for earlier."""
 
@@ -165,12 +157,6 @@
     mark: str
 
 
-class Probe(NamedTuple):
-    """Ask a server whether it serves; an answer comes as `Probed`, none where none came in time."""
-
-    server: str
-
-
 class Subscribe(NamedTuple):
     """Ask the list service for changes from now on."""
 
@@ -181,5 +167,5 @@
     line: str
 
 
-Event = ServerList | Flow | AlreadyOpen | Established | Ended | Withdrawn | LoadNoted | DelayNoted | Probed | Wake
-Action = Connect | Reject | Abort | Move | WakeMe | Probe | Subscribe | Say
+Event = ServerList | Flow | AlreadyOpen | Established | Ended | Withdrawn | LoadNoted | DelayNoted | Wake
+Action = Connect | Reject | Abort | Move | WakeMe | Subscribe | Say
--- a/lotusroute/net/owner.py
+++ b/lotusroute/net/owner.py
@@ -19,7 +19,7 @@
 from lotusroute.net.discovery import Listed
 from lotusroute.net.lines import BUSY, ERR
 from lotusroute.net.log import LOG, fault, say
-from lotusroute.net.servers import CONNECTING, STANDING, Answered, Fell, Link, Loaded, Prober, Timed
+from lotusroute.net.servers import CONNECTING, STANDING, Answered, Fell, Link, Loaded, Timed
 from lotusroute.net.startup import Posting
 
 MARGIN = 40.0  # ms before a flow's connect timeout by which it is answered: what a busy core may hold us up
@@ -437,11 +437,6 @@
             held.link.leave()
             self._ended(held, i.CANCELLED)
 
-    def _probe(self, action: i.Probe) -> None:
-        if action.server in self.dials:
-            self.counts["probes"] += 1
-            Prober(action.server, self.put).start(self.dials[action.server])
-
     def _wake_me(self, action: i.WakeMe) -> None:
         self._later(action.delay, i.Wake(action.mark))
 
@@ -527,10 +522,10 @@
         Asked: _asked, Answered: _answered, Fell: _fell, Overdue: _overdue, Left: _left, Loaded: _loaded,
         Timed: _timed, Listed: _listed, Again: _again, Gone: _gone, Look: _look,
         Step: _step,
-        i.Wake: _decide, i.Withdrawn: _decide, i.Probed: _decide,
+        i.Wake: _decide, i.Withdrawn: _decide,
     }  # fmt: skip
     _do = {
         i.Connect: _connect, i.Reject: _reject, i.Abort: _abort, i.Move: _move, i.WakeMe: _wake_me,
-        i.Say: _say, i.Probe: _probe, i.Subscribe: _nothing,
+        i.Say: _say, i.Subscribe: _nothing,
     }  # fmt: skip
 
--- a/lotusroute/net/servers.py
+++ b/lotusroute/net/servers.py
@@ -1,6 +1,6 @@
 """The side of the servers.
 
-Owns every connection to a server, one for each connect or probe, and what a server's lines mean. How a connect
+Owns every connection to a server, one for each connect, and what a server's lines mean. How a connect
 ended is a value, an `interface` result that says how far it had come; no exception leaves this file. It must
 never choose a server, try again, or speak to a client but to pass on.
 """
@@ -13,10 +13,9 @@
 from twisted.internet.protocol import ClientFactory
 
 from lotusroute import interface as i
-from lotusroute.net.lines import BUSY, BYE, END, ERR, LOAD, MOVE, PING, PONG, UP, SliceReceiver, word
+from lotusroute.net.lines import BUSY, BYE, LOAD, MOVE, UP, SliceReceiver, word
 from lotusroute.vip import Malformed, number
 
-PROBE = 1.0  # s that a probe may take: the next comes after two
 UNANSWERED = 64  # client lines whose answers are timed at once; those of two minutes
 
 # How far a connect has come.
@@ -242,41 +241,3 @@
     def silent(self, now: float) -> float:
         """For how long the server has brought nothing though a line waits, in ms."""
         return now - max(self.side.asked[0], self.side.heard) if self.side.asked else 0.0
-
-
-class ProbeSide(SliceReceiver):
-    """The connection of one probe."""
-
-    factory: "Prober"
-
-    def connectionMade(self) -> None:
-        super().connectionMade()
-        self.transport.write(PING + END)
-
-    def lineReceived(self, line: memoryview) -> None:
-        if not self.factory.done:
-            self.factory.done = True
-            if (first := word(line)) in (PONG, ERR):
-                self.factory.put(i.Probed(self.factory.server, first == PONG))
-            self.transport.abortConnection()
-
-    def otherEnded(self) -> None:
-        self.transport.abortConnection()
-
-    def lost(self, clean: bool) -> None:
-        """Whoever says nothing is judged by its connects."""
-
-
-class Prober(ClientFactory):
-    """One question to a server whether it serves; it lasts `PROBE` s at most."""
-
-    noisy = False
-    protocol = ProbeSide
-
-    def __init__(self, server: str, put: Callable) -> None:
-        self.server, self.put, self.done = server, put, False
-
-    def start(self, address: tuple[str, int]) -> None:
-        """Ask, on a connection of its own."""
-        connector = reactor.connectTCP(*address, self, timeout=PROBE)
-        reactor.callLater(PROBE, connector.disconnect)
--- a/lotusroute/vip.py
+++ b/lotusroute/vip.py
@@ -104,7 +104,6 @@
         sizes_hold=env.get("weights", "silent") in ("nominal", "rough"),
         tells_delay=flag("family_info.tells_delay"),
         message_target=message_target,
-        probes=flag("limits.probes"),
         must_ask=env.get("discovery") == "ask",
         ask_every=get("rules.ask_every", 10_000.0),
         max_connects=int(get("limits.max_connects", 1, least=1)),
