Connections come home, by chance, to servers that joined after they were placed (sockets)

Checked and dropped: ties of idle servers by id (no check acted at all, so none sent anybody to the lowest id). Now: each second a connection whose segment's default has started since goes home with 0.2 times the default's present share.

--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -58,6 +58,7 @@
 AFTER = 20_000.0  # ms: half of what connections live; filled again at once it jammed again and again
 MOVE_SHARE = 0.15  # share of own connections that leave at a time, times how late messages are
 UNTOLD = 0.34  # the same where no server says that its messages are slow: what set-ups show is late and large
+HOME = 0.2  # share a second of its segments' connections that come home to a new server; 0.5 came as a crowd
 PACE = 0.5  # times the mean first arrivals that a server jammed just now gets while it recovers
 DOUBLING = 4_000.0  # ms without a sign of trouble after which that pace doubles
 RECOVERY = 12_000.0  # ms without a sign of trouble until a jammed server counts as well
@@ -523,8 +524,7 @@
 
     def _cold_turn(self, host: _Host, returned: bool) -> bool:
         """Its own part of the budget, which with few balancers is most of what a crowd leaves, or a turn."""
-        warm = max(0.0, self.now - host.started) / self.vip.warm_after
-        bears = self.vip.tip_multiple * (self.vip.cold_from + (1 - self.vip.cold_from) * warm)
+        bears = self.vip.tip_multiple * self._share(host)
         pace = self.rate * self.vip.siblings / TICK * bears * host.size / max(self.capacity, host.size)
         number = self.vip.siblings if host.turns else self.vip.me + 1
         if self.now >= host.own_turn + number / max(pace, 1e-9):
@@ -593,11 +593,32 @@
         for host in self.sick.values():
             if host.open and max(host.hot, host.sure) > self.now >= host.moved + MOVE_EVERY:
                 self._move_off(host)
+        if self.untold:
+            self._go_home()
         # Where much of the fleet is jammed, scattered groups cost more than the spill relieves.
         self.depth = DEPTH if len(self.sick) <= JAMMED * len(self.ready) else JAMMED_DEPTH
         if self.untold or not self.ticks % CHECK:
             self._check()
 
+    def _go_home(self) -> None:
+        """A segment belongs to its default, also one that joined after its connections were placed: with seven
+        of twelve servers replaced five old ones held everything, and two were overdriven. Each of many moves
+        by chance, the sooner the warmer the server is, so that they do not come as a crowd."""
+        for held in [held for held in self.held.values() if held.up]:
+            host = next(iter(self._order(held.segment)[held.place:]), held.host)
+            fit = max(host.aside, host.hot, host.weak, host.mild) <= self.now
+            if host is held.host or not (host.started and fit):
+                continue
+            if self.chance.random() < HOME * self._share(host):
+                self.moved.pop((held.segment, held.place), None)
+                held.up = False
+                self.out.append(i.Move(held.flow.id))
+
+    def _share(self, host: _Host) -> float:
+        """What part of its full capacity a server that has started has at least."""
+        warm = min(1.0, max(0.0, self.now - host.started) / max(self.vip.warm_after, 1.0))
+        return self.vip.cold_from + (1 - self.vip.cold_from) * warm
+
     def _move_off(self, host: _Host) -> None:
         host.moved = self.now
         able = [h for h in host.open.values() if h.up]
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -272,6 +272,22 @@
     assert len(back) == 1 and left not in back
 
 
+def test_connections_come_home_to_a_server_that_joins_the_sooner_the_warmer_it_is():
+    # join+vast: seven servers of twelve were replaced; five old ones held everything, two were overdriven.
+    fleet = [FakeHost(4, seed=at, siblings=40, me=at, shares_work=True) for at in range(40)]
+    groups = [f"g{at}" for at in range(10)]
+    for host in fleet:
+        connects = {host.open(f"k{at}", group=group).id: group for at, group in enumerate(groups)}
+        host.list(i.Server("new", started=host.now + 1.0))
+    homes = {group for group in groups if fleet[0].default(group) == "new"}
+    assert 1 <= len(homes) <= 5
+    early, late = ([of(i.Move, host.wait(ms)) for host in fleet] for ms in (5_000.0, 15_000.0))
+    moved = [connects[move.id] for moves in early + late for move in moves]
+    assert set(moved) == homes and len(moved) > 0.8 * 40 * len(homes)
+    # Not as a crowd: under a third of them in the first five seconds.
+    assert 0 < sum(map(len, early)) < 0.4 * 40 * len(homes)
+
+
 def test_the_quick_order_of_a_large_fleet_is_the_whole_one():
     # i781c5a: ranking 185 servers for each segment after each list took five times the CPU allowed.
     host, dice = FakeHost(0), random.Random(5)
