--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -51,7 +51,6 @@
 LONE = 0.05  # what is held against a server after three set-ups in a row: under it a late connect is chance
 SOUND = 8  # set-ups in time after which a jammed server counts as well: at few a second RECOVERY is less
 LAST_LOOK = 8  # servers beside the segment's own that are looked at before a flow is refused
-SHARED = 2  # servers late in a row, none in time between: what they share is late, as the session store
 PATIENCE = 2.0  # setup targets: how long one connect may take while others could follow
 FAILING = 0.5  # failed connects per one that stands: as many as a cut zone brings, more and flows wait
 SPARE = 4.0  # failed connects: so few say nothing yet
@@ -59,7 +58,7 @@
 AFTER = 20_000.0  # ms: half of what connections live; filled again at once it jammed again and again
 MOVE_SHARE = 0.15  # share of own connections that leave at a time, times how late messages are
 UNTOLD = 0.34  # the same where no server says that its messages are slow: what set-ups show is late and large
-HOME = 0.2  # share a second of connections that come home to a new server; 0.5 came as a crowd
+HOME = 0.2  # share a second of its segments' connections that come home to a new server; 0.5 came as a crowd
 PACE = 0.5  # times the mean first arrivals that a server jammed just now gets while it recovers
 DOUBLING = 4_000.0  # ms without a sign of trouble after which that pace doubles
 RECOVERY = 12_000.0  # ms without a sign of trouble until a jammed server counts as well
@@ -159,7 +158,6 @@
         self.rate = self.asks = 0.0  # the same a tick
         self.usual: _Mean | None = None  # ms that set-ups take lately, anywhere
         self.spread = SPREAD  # mean deviation of their logarithm
-        self.lately: set[str] = set()  # servers late in a row; a set-up in time empties it
         self.quick: list[_Host] = []  # servers by set-up, the quickest first, as of `quick_at`
         self.quick_at = -math.inf
         self.subscribed, self.refusals, self.ask_at = False, 0, 0.0
@@ -349,12 +347,6 @@
         self.failed += 1
         return True
 
-    def _shared_late(self) -> bool:
-        """Whether set-ups are late wherever they go. When 28 of 40 balancers died their clients' set-ups all
-        called one store; each given up after 600 ms was called for again, and 80 in 100 failed for 8 s. So a
-        connect waits for its turn there, and no server is blamed."""
-        return self.untold and len(self.lately) >= SHARED
-
     def _remembers(self, held: _Held, host: _Host) -> bool:
         """A referenced flow that may have run goes only where its repeat is known and dropped."""
         if held.ran is None:
@@ -374,7 +366,7 @@
             return
         within = PATIENCE * self.vip.service_types[flow.service_type].setup_target
         within = min((flow.due - self.now) / 2, within)
-        if len(held.tried) + 1 >= self.vip.max_connects or self._shared_late():
+        if len(held.tried) + 1 >= self.vip.max_connects:
             within = 0.0
         held.tried.append(host.id)
         held.sent_at, held.host = self.now, host
@@ -421,8 +413,6 @@
             return
         host = held.host
         self.failed += not held.up and event.result != i.OK
-        if host is not None and not held.up and event.result == i.TIMEOUT:
-            self.lately.add(host.id)
         if host is not None:
             self._judge(host, held, event.result)
             host.open.pop(event.id, None)
@@ -444,8 +434,6 @@
         elif result == i.UNREACHABLE:
             # Silent death shows in connects long before the list tells of it.
             self._blame(host, 0.6)
-        elif result == i.TIMEOUT and self._shared_late():
-            pass
         elif result in (i.ERROR, i.TIMEOUT, i.RESET):
             # Many connections cut at once: the process is gone. One cut now and then: it sheds load.
             cut = result == i.RESET and held.up
@@ -474,11 +462,7 @@
         self.spread += SPREAD_GAIN * (min(1.0, off) - self.spread)
         host.setup.add(self.now, took)
         host.last.add(self.now, took)
-        if took <= self.target:
-            self.lately.clear()
-        else:
-            self.lately.add(host.id)
-        if not self.untold or self._cold(host) or self._shared_late():
+        if not self.untold or self._cold(host):
             return
         quick = self._quickest(host)
         if quick is None:
@@ -617,7 +601,7 @@
             self._check()
 
     def _go_home(self) -> None:
-        """A segment belongs to its default, also one that joined after these were placed: with seven
+        """A segment belongs to its default, also one that joined after its connections were placed: with seven
         of twelve servers replaced five old ones held everything, and two were overdriven. Each of many moves
         by chance, the sooner the warmer the server is, so that they do not come as a crowd."""
         for held in [held for held in self.held.values() if held.up]:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -288,28 +288,6 @@
     assert 0 < sum(map(len, early)) < 0.4 * 40 * len(homes)
 
 
-def test_set_ups_late_at_two_servers_in_a_row_are_waited_for_and_blamed_on_neither():
-    # herd+vast: 200 clients of dead balancers called one store; what was given up was called again.
-    host = FakeHost(8)
-    assert host.ask("a").within == 600.0
-    for at, key in enumerate(("a", "b", "c", "d")):
-        connect = host.ask(key)
-        if at < 2:
-            host.now += connect.within
-            again = host.end(connect, i.TIMEOUT)[0]
-            assert again.server != connect.server
-            host.end(again, i.OK, True)
-        else:
-            # Two were late, none in time since: until its client gives up, and nothing is held against it.
-            assert connect.within == 0.0
-            host.end(connect, i.TIMEOUT)
-            assert host.director.hosts[connect.server].weak <= host.now
-    on_time = host.ask("e")
-    host.now += 20.0
-    host.tell(i.Established(on_time.id, on_time.server))
-    assert host.ask("f").within == 600.0
-
-
 def test_the_quick_order_of_a_large_fleet_is_the_whole_one():
     # i781c5a: ranking 185 servers for each segment after each list took five times the CPU allowed.
     host, dice = FakeHost(0), random.Random(5)
