--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -58,7 +58,7 @@
 AFTER = 20_000.0  # ms: half of what connections live; filled again at once it jammed again and again
 MOVE_SHARE = 0.15  # share of own connections that leave at a time, times how late messages are
 UNTOLD = 0.34  # the same where no server says that its messages are slow: what set-ups show is late and large
-HOME = 0.2  # share a second of its segments' connections that come home to a new server; 0.5 came as a crowd
+HOME = 0.2  # share a second of connections that come home to a new server; 0.5 came as a crowd
 PACE = 0.5  # times the mean first arrivals that a server jammed just now gets while it recovers
 DOUBLING = 4_000.0  # ms without a sign of trouble after which that pace doubles
 RECOVERY = 12_000.0  # ms without a sign of trouble until a jammed server counts as well
@@ -601,7 +601,7 @@
             self._check()
 
     def _go_home(self) -> None:
-        """A segment belongs to its default, also one that joined after its connections were placed: with seven
+        """A segment belongs to its default, also one that joined after these were placed: with seven
         of twelve servers replaced five old ones held everything, and two were overdriven. Each of many moves
         by chance, the sooner the warmer the server is, so that they do not come as a crowd."""
         for held in [held for held in self.held.values() if held.up]:
