--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -29,6 +29,7 @@
 DEPTH = 4  # servers of a segment's order it may spill over: more scatter groups that share work
 JAMMED_DEPTH = 2  # the same while much of the fleet is jammed
 JAMMED = 0.5  # share of servers: what much of the fleet means; 0.75 cost 0.03 on overloaded days
+EXPLAINED = 5_000.0  # ms after a server has left: its clients come back within two, its list is seconds late
 DOUBT = 0.75  # share of returning clients that pass by a server of which nothing is known; 0.5 did less
 TICK = 1_000.0  # ms: upkeep; as often as servers speak of slow messages
 CHECK = 5  # ticks: the design's 5 s between checks; each tick where no server says it is slow
@@ -145,6 +146,7 @@
         self.out: list[i.Action] = []
         self.hosts: dict[str, _Host] = {}  # servers listed; gone ones leave with their last connection
         self.ready: list[_Host] = []  # as of the last list
+        self.explained = 0.0  # until when returning clients are no news
         self.capacity = self.largest = 1.0  # their sizes added up, and the largest
         self.sick: dict[str, _Host] = {}  # those jammed lately; each leaves when its time is over
         self.orders: dict[int, list[_Host]] = {}  # by segment, 2^P at most; cleared when the list changes
@@ -192,7 +194,10 @@
             self._listed(line)
         for host in [h for h in self.hosts.values() if h.state == i.GONE and not h.open]:
             del self.hosts[host.id]
-        self.ready = [h for h in self.hosts.values() if h.state == i.READY]
+        before, self.ready = self.ready, [h for h in self.hosts.values() if h.state == i.READY]
+        if self.untold and (not before or any(h.state != i.READY for h in before)):
+            # Who comes back now may come from those that left, or from another balancer that died with us.
+            self.explained = self.now + EXPLAINED
         self.capacity = sum(h.size for h in self.ready) or 1.0
         self.largest = max((h.size for h in self.ready), default=1.0)
         self.orders.clear()
@@ -310,10 +315,10 @@
             elif host.mild > self.now and not held.flow.mid_flow:
                 mild = mild or host
             elif (held.flow.returned and not held.flow.mid_flow and not host.open and not cold
-                  and not self.untold and self.chance.random() < DOUBT):
-                # Where siblings are many, clients cut off by a jammed server are the only news of it. Not
-                # where set-ups tell: forty that each held next to nothing passed by the defaults of all who
-                # came from draining servers, and groups stood on twice as many servers.
+                  and self.now >= self.explained and self.chance.random() < DOUBT):
+                # Where siblings are many, clients cut off by a jammed server are the only news of it. Not when
+                # one has left the list lately: forty that each held next to nothing passed by the defaults of
+                # all who came from draining servers, and groups stood on twice as many servers.
                 doubted = host
             elif self._turn_taken(host, held.flow.returned):
                 return host
