--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -316,8 +316,8 @@
                 mild = mild or host
             elif (held.flow.returned and not held.flow.mid_flow and not host.open and not cold
                   and self.now >= self.explained and self.chance.random() < DOUBT):
-                # Where siblings are many, clients cut off by a jammed server are the only news of it. Not when
-                # one has left the list lately: forty that each held next to nothing passed by the defaults of
+                # Where siblings are many, clients cut off by a jammed server are the only news of it. Not
+                # when one has left the list: forty that each held next to nothing passed by the defaults of
                 # all who came from draining servers, and groups stood on twice as many servers.
                 doubted = host
             elif self._turn_taken(host, held.flow.returned):
