--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -606,7 +606,7 @@
             self._check()
 
     def _go_home(self) -> None:
-        """A segment belongs to its default, also one that joined after these were placed: with seven
+        """A segment belongs to its default, also one that joined after its connections: with seven
         of twelve servers replaced five old ones held everything, and two were overdriven. Each of many moves
         by chance, the sooner the warmer the server is, so that they do not come as a crowd."""
         for held in [held for held in self.held.values() if held.up]:
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -284,7 +284,7 @@
     early, late = ([of(i.Move, host.wait(ms)) for host in fleet] for ms in (5_000.0, 15_000.0))
     moved = [connects[move.id] for moves in early + late for move in moves]
     assert set(moved) == homes and len(moved) > 0.8 * 40 * len(homes)
-    # Not as a crowd: under a third of them in the first five seconds.
+    # Not as a crowd: under two in five of them in the first five seconds.
     assert 0 < sum(map(len, early)) < 0.4 * 40 * len(homes)
 
 
