--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -14,10 +14,9 @@
   5. polite moves   connections leave an overdriven server, the heaviest first
 """
 
-import itertools
 import math
 import random
-from collections import Counter
+from collections import Counter, deque
 from zlib import crc32
 
 from lotusroute import interface as i
@@ -25,7 +24,8 @@
 P = 10  # bits: 1024 segments, so that few groups share one; 8 mixed them, 12 gave no more
 FILL = 1.4  # mean servers' connections that one server can take: at 40% load, with the cost of a group
 UNSURE = 5  # connections: so many of no group at all are thought in, so that chance spreads none
-SEEN = 64  # own flows, the last, that are looked at for what a server is wanted for: few suffice, many cost
+SEEN = 64  # flows asked for, the last, that tell what servers and segments are wanted for: many cost
+USUAL = 20  # flows of the usual mix thought in beside them: at 200 balancers each has asked for as many
 R = 0.8  # ratio: the paper's value; 0.6 to 0.9 measured alike
 FEW = 4  # connections: under this the busiest server is left alone, chance rules such counts
 DEPTH = 4  # servers of a segment's order it may spill over: more scatter groups that share work
@@ -58,6 +58,7 @@
 WAIT = 0.8  # of the time left, where no server says it is slow: the rest serves for one more
 FAILING = 0.5  # failed connects per one that stands: as many as a cut zone brings, more and flows wait
 SPARE = 4.0  # failed connects: so few say nothing yet
+CUT, CUT_SPARE = 0.25, 1.0  # the same of those failed or cut, for who returns: one in five is a jam
 MOVE_EVERY = 2_000.0  # ms: until notes can show what the last moves did
 AFTER = 20_000.0  # ms: half of what connections live; filled again at once it jammed again and again
 MOVE_SHARE = 0.15  # share of own connections that leave at a time, times how late messages are
@@ -69,6 +70,7 @@
 THOUGHT = 1.0  # flows a tick thought in: a balancer that sees one in three ticks took each for a crowd
 ROUND = 3_000.0  # ms: in which the turn at a cold server passes all balancers; the time in which one falls
 LUMP = 2.0  # times the mean that one server may be asked for by a large group; 1 broke the rule
+COLDEST = 0.05  # share of its capacity that a server is thought to have at least when it starts
 CROWD = 4.0  # the same at a jammed one, to which more come than arrive at first; 2 measured alike
 RATE_GAIN = 0.1  # share: arrivals are averaged over about ten ticks
 BACK_OFF = 500.0  # ms: first wait after a refused call to the list; doubles up to half of ask_every
@@ -155,9 +157,10 @@
         self.moved: dict[tuple[int, int], _Host] = {}  # overrides; leave with their server or as defaults
         self.counts: dict[int, int] = {}  # own flows by segment; a segment leaves at 0
         self.held: dict[int, _Held] = {}  # flows not finished; each leaves with its end
+        self.seen: deque[tuple[int, int]] = deque(maxlen=SEEN)  # segments and places of the last flows
         self.ticks = 0
         self.depth = DEPTH  # of spilling, by the last tick's look at the fleet
-        self.failed = self.stood = 0.0  # connects that failed (or were not made) and that stood
+        self.failed = self.stood = self.cut = 0.0  # connects that failed (or were not made), stood, were cut
         self.arrived = self.asked = 0  # since the last tick: first arrivals, and all flows
         self.crowd, self.crowd_at = 0.0, 0.0  # what `_came` was at the last flow, and when that was
         self.rate = self.asks = 0.0  # the same a tick
@@ -235,6 +238,14 @@
     def _places(self, segment: int) -> int:
         """Over how many servers of its order a segment is spread. One alone cannot hold a group that is a
         tenth of all flows of 80 servers; what this balancer holds of it tells how large it is."""
+        if self.untold and len(self.held) <= SEEN:
+            # Of four flows held none was of the same group: 36 groups stood on the homes of a third of 60
+            # servers, the rest idle. What came lately tells more, and beside it how few groups there are.
+            counts, asked = Counter(s for s, _ in self.seen), len(self.seen)
+            alike = sum(c * (c - 1) for c in counts.values()) / (asked * (asked - 1) + USUAL)
+            if alike * len(self.ready) > FILL:  # the usual group is more than one server takes
+                part = (counts[segment] + USUAL * alike) / (asked + USUAL)
+                return min(1 + int(part * len(self.ready) / FILL), 2 * DEPTH)
         others = (self.counts[segment] - 1) * len(self.ready)
         return min(1 + int(others / (FILL * (len(self.held) + UNSURE))), 2 * DEPTH)
 
@@ -293,6 +304,7 @@
         held = self.held[flow.id] = _Held(flow, self._segment(flow))
         self.counts[held.segment] = self.counts.get(held.segment, 0) + 1
         held.place = crc32((flow.key or str(flow.id)).encode()) % self._places(held.segment)
+        self.seen.append((held.segment, held.place))
         return held
 
     def _pick(self, held: _Held) -> _Host | None:
@@ -302,7 +314,7 @@
         if entry is not None:
             order = [entry, *(host for host in order if host is not entry)]
         hot = aside = doubted = mild = None
-        steps = self.depth
+        steps, cold_home = self.depth, None
         for host in order:
             # A cold server is no step: when a fleet grew fourfold all four were cold, and flows were refused.
             cold = self._cold(host)
@@ -310,7 +322,10 @@
             if steps < 0:
                 break
             # What a jammed fleet spills pushes cold servers over: they get the flows of their own segments.
-            if host.id in held.tried or not self._remembers(held, host) or cold and host is not entry:
+            # Where none tells, the first gets what is spilled too, within that part: two of three stood idle.
+            cold_home = cold_home or (host if cold else None)
+            only = cold_home if self.untold else entry
+            if host.id in held.tried or not self._remembers(held, host) or cold and host is not only:
                 continue
             if host.aside > self.now:
                 aside = aside or host
@@ -350,10 +365,15 @@
     def _throttled(self, flow: i.Flow) -> bool:
         """Where most connects fail whatever the server, something that all share is down, and further
         tries keep it down: at a jammed session store 36 connects a flow were made, all day."""
-        excess = self.failed - FAILING * self.stood - SPARE
-        if flow.mid_flow or excess <= 0 or self.chance.random() > excess / (self.failed + self.stood):
+        bad, good, part, spare = self.failed, self.stood, FAILING, SPARE
+        if self.untold and flow.returned:
+            # What overdriven servers cut came again at once and was cut elsewhere: 370 connects a second,
+            # where the warm servers could set up 105. A cut tells of the limit.
+            bad, good, part, spare = bad + self.cut, max(0.0, good - self.cut), CUT, CUT_SPARE
+        excess = bad - part * good - spare
+        if flow.mid_flow or excess <= 0 or self.chance.random() > excess / (bad + good):
             return False
-        self.failed += 1
+        self.failed += not (self.untold and flow.returned)
         return True
 
     def _remembers(self, held: _Held, host: _Host) -> bool:
@@ -427,6 +447,7 @@
             return
         host = held.host
         self.failed += not held.up and event.result != i.OK
+        self.cut += held.up and event.result == i.RESET
         if host is not None:
             self._judge(host, held, event.result)
             host.open.pop(event.id, None)
@@ -554,10 +575,11 @@
         return self._turn(host, turn)
 
     def _filling(self, host: _Host) -> float:
-        """What part of the flows for a cold server is let in: all balancers fill it as fast as it warms. At
-        200 that hold four connections each, one flow a turn of each was a crowd: a server 14% warm got 31 in
-        3 s and fell over. Of a crowd that comes at once, as much as of what each holds comes in a round."""
-        filled = self.vip.tip_multiple / LUMP * len(self.held) * ROUND / max(self.vip.warm_after, 1.0)
+        """What part of the flows for a cold server is let in: as much as the rule lets it bear, at its
+        coldest what fills a mean server over the warm-up, and the more the warmer it is. However fast flows
+        come, a balancer adds up to its part of that within a ROUND: the part falls as they do."""
+        bears = self.vip.tip_multiple * self._share(host) / max(self.vip.cold_from, COLDEST)
+        filled = bears * len(self.held) * ROUND / max(self.vip.warm_after, 1.0)
         return min(1.0, filled / max(1.0, self._came()) * self._even(host))
 
     def _came(self) -> float:
@@ -565,12 +587,18 @@
         return self.crowd * math.exp((self.crowd_at - self.now) / ROUND)
 
     def _even(self, host: _Host) -> float:
-        """A server's even share of what it is wanted for, 1 at most, by the last own flows. The home of two
-        large groups was wanted by a sixth of all flows of 58 servers, and fell over."""
-        last = list(itertools.islice(reversed(self.held.values()), 1, SEEN))
-        share = host.size / max(self.capacity, host.size)
-        wanted = sum(self._entry(held.segment, held.place) is host for held in last) + UNSURE * share
-        return min(1.0, share * (len(last) + UNSURE) / wanted)
+        """A server's even share over the part of flows it is wanted for: C of the last N, this one counted.
+        Whatever the true part w is, the mean of N / C is (1 - (1 - w)^N) / w, so that all balancers together
+        let in its even share at most. With five thought in at an even share, 200 that held four each did not
+        see that a tenth of all flows were for one server, and it fell over."""
+        wanted = sum(self._cold_home(*spot) is host for spot in self.seen)
+        return host.size / max(self.capacity, host.size) * len(self.seen) / max(1, wanted)
+
+    def _cold_home(self, segment: int, place: int) -> _Host | None:
+        """The one cold server that a segment's flows may come to: its entry, or the first of its order."""
+        entry = self._entry(segment, place)
+        homes = (host for host in self._order(segment) if self._cold(host))
+        return entry if entry is None or self._cold(entry) else next(homes, None)
 
     def _jammed_turn(self, host: _Host) -> bool:
         """One flow a turn is a crumb of hundreds a second: where the pace brings several, it alone counts."""
@@ -617,7 +645,7 @@
         self.asks += gain * (self.asked - self.asks)
         self.ticks += 1
         self.arrived = self.asked = 0
-        self.failed, self.stood = self.failed * (1 - RATE_GAIN), self.stood * (1 - RATE_GAIN)
+        self.failed, self.stood, self.cut = (x * (1 - RATE_GAIN) for x in (self.failed, self.stood, self.cut))
         if self.vip.must_ask and not self.subscribed and self.now >= self.ask_at:
             self.ask_at = self.now + self.vip.ask_every / 2
             self.out.append(i.Subscribe())
