Leases by a majority of keepers, pure machines, and an explorer that judges every state

Need: fleet-wide tasks (watching discovery, rights at cold servers, the design's check) want one holder at a time, proved before code uses it. Nothing of it is imported by `run`. Found on the way: an answer of an earlier renewal has the number of the later one and would have stretched a lease beyond what its keeper counts; each question now carries its round, and the answer brings it back.

--- /dev/null
+++ b/lotusroute/leases/words.py
@@ -0,0 +1,147 @@
+"""What askers and keepers of leases say to one another, and the terms that both hold to.
+
+Owns the words and the terms. It must never hold state, read a clock or know how a word travels.
+
+All times are milliseconds of the one clock that the speaker has; no two clocks are ever compared, only
+lengths of time cross the link.
+"""
+
+from typing import NamedTuple
+
+LEASE = 3_000.0  # ms: no holder for so long after one is killed; shorter ones are lost to a stall of a second
+DRIFT = 0.01  # share by which a clock may run fast or slow: a hundred times what machines' clocks do
+MARGIN = 50.0  # ms off the end: a step of the reactor, in which an act that was begun is carried out
+RENEW = 0.5  # share of the time held after which it is renewed: two more tries fit in before it ends
+PATIENCE = 400.0  # ms for keepers to answer: far ways and a busy core, and a lease has room for several
+PAUSE = 100.0, 400.0  # ms, drawn, before one who was refused asks again: two that split the keepers part
+TERM = 60_000.0  # ms after which a holder gives way where somebody else asks
+STALL = 1_000.0  # ms between two looks at the clock after which a holder thinks itself stalled and gives way
+
+# Why a keeper refuses.
+SILENT, HELD, LOW, LONG, FULL = "silent", "held", "low", "long", "full"
+
+
+class Terms(NamedTuple):
+    """What all of a fleet agree on, from the operator's file."""
+
+    keepers: tuple[str, ...]
+    lease: float = LEASE
+    drift: float = DRIFT
+    margin: float = MARGIN
+    patience: float = PATIENCE
+    term: float = TERM
+    stall: float = STALL
+
+    @property
+    def majority(self) -> int:
+        """How many keepers must say yes: any two such sets share one.
+
+        >>> Terms(("a", "b", "c")).majority, Terms(tuple("abcde")).majority
+        (2, 3)
+        """
+        return len(self.keepers) // 2 + 1
+
+    @property
+    def held(self) -> float:
+        """How long an asker may think it holds, by its own clock, from before it proposed.
+
+        A keeper counts the whole lease from when the proposal came, by a clock that may run fast: it lets go
+        no sooner than lease / (1 + drift). The asker's clock may run slow, so that what it counts as h lasts
+        up to h / (1 - drift) (Gray and Cheriton 1989, section 5).
+
+        >>> round(Terms(("a",), lease=3_000.0, drift=0.01, margin=50.0).held, 1)
+        2890.6
+        """
+        return self.lease * (1 - self.drift) / (1 + self.drift) - self.margin
+
+
+class Prepare(NamedTuple):
+    """An asker wants a keeper's word that no lower number gets the task."""
+
+    task: str
+    number: int
+    asker: str
+    round: int  # of all that the asker asked: an answer counts in the round that it was given in
+
+
+class Propose(NamedTuple):
+    """An asker takes the task under its number, or has it for longer."""
+
+    task: str
+    number: int
+    asker: str
+    round: int
+    lease: float
+
+
+class Release(NamedTuple):
+    """A holder, or one that did not become it, lets go."""
+
+    task: str
+    number: int
+    asker: str
+    round: int
+
+
+class Reply(NamedTuple):
+    """A keeper's answer to one of these."""
+
+    task: str
+    number: int
+    step: str  # "prepare", "propose" or "release"
+    round: int
+    yes: bool
+    why: str = ""
+    seen: int = 0  # the highest number that the keeper has promised
+    left: float = 0.0  # ms until another's lease ends there
+    wanted: bool = False  # another has asked for the task within a lease
+
+
+class Want(NamedTuple):
+    """This balancer would do the task."""
+
+    task: str
+
+
+class Leave(NamedTuple):
+    """It would do it no longer."""
+
+    task: str
+
+
+class Told(NamedTuple):
+    """A keeper has answered."""
+
+    keeper: str
+    reply: Reply
+
+
+class Freed(NamedTuple):
+    """A keeper tells those who asked that the holder has let go."""
+
+    task: str
+
+
+class Tick(NamedTuple):
+    """Time has passed."""
+
+
+class Ask(NamedTuple):
+    """Say this to a keeper."""
+
+    keeper: str
+    what: Prepare | Propose | Release
+
+
+class Held(NamedTuple):
+    """The task is this balancer's; every act of it carries the fence."""
+
+    task: str
+    fence: int
+
+
+class Lost(NamedTuple):
+    """The task is this balancer's no longer."""
+
+    task: str
+    why: str
--- /dev/null
+++ b/lotusroute/rig/explorer.py
@@ -0,0 +1,249 @@
+"""Tries interleavings of the lease machines: messages late, lost, doubled, reordered; crashes, stalls, drift.
+
+Owns the small world in which keepers and askers run, the order in which things happen there, and what counts
+as a breach. It must never change the machines, use a clock or a socket, or pass over a breach.
+
+    python -m lotusroute.rig.explorer --walks 20000 --seed 1
+    python -m lotusroute.rig.explorer --search 200000
+
+Real time passes in steps. Keepers' clocks run fast and askers' slow, both at the ends of the drift, which is
+the worst for a lease. An asker looks at its clock only when a move `look` or a message comes: where none
+does, it stands still, and what it then does belongs to the past. Disk has each number that a keeper promised.
+"""
+
+import argparse
+import random
+import sys
+import time
+from collections import deque
+from typing import NamedTuple
+
+from lotusroute.leases.asker import Asker, Claim
+from lotusroute.leases.keeper import NUMBERS, Keeper
+from lotusroute.leases.words import Freed, Held, Terms, Tick, Told, Want
+
+STEP = 500.0  # ms of real time a step: six of them are a lease, so that few steps reach its end
+TASK = "task"
+FLIGHT = 16  # messages in flight at most: beyond that the oldest is lost
+DRIFT = 0.2  # far more than clocks do, so that it shows in whole steps
+
+
+class _Least:
+    """Draws the least: an explorer tries the orders, not the pauses."""
+
+    @staticmethod
+    def uniform(least: float, most: float) -> float:
+        return least
+
+
+class World(NamedTuple):
+    """All there is at one moment; the same value is the same state."""
+
+    now: int  # steps of real time
+    keepers: tuple  # (kept, open_from, floor) each
+    askers: tuple  # (name, claim, looked, round) each
+    flight: tuple  # (to, from, words), the oldest first
+    fence: int  # the highest under which somebody held
+    holder: str  # who that was
+    doubles: int  # messages that may still be doubled
+    crashes: int  # processes that may still crash
+
+
+class Breach(Exception):
+    """What must never be; says what, and the steps that led there."""
+
+
+class Explorer:
+    """The moves that a world has."""
+
+    def __init__(self, askers: int = 2, keepers: int = 3, doubles: int = 1, crashes: int = 1,
+                 drift: float = DRIFT, known_drift: float = DRIFT) -> None:  # fmt: skip
+        names = tuple(f"k{n}" for n in range(keepers))
+        # As on a fleet, less the figures that would only make more steps.
+        self.terms = Terms(names, drift=known_drift, margin=0.0, patience=2 * STEP, stall=8 * STEP)
+        self.fast, self.slow = 1 + drift, 1 - drift
+        self.first = World(
+            0,
+            tuple(((), -1.0, 0) for _ in names),
+            tuple((f"a{n}.0", Claim(wants=True), 0.0, 0) for n in range(askers)),
+            (), 0, "", doubles, crashes,
+        )  # fmt: skip
+
+    # Machines out of a world, and back
+
+    def _keeper(self, world: World, at: int) -> Keeper:
+        kept, open_from, floor = world.keepers[at]
+        keeper = Keeper(self.terms, 0.0, floor)
+        keeper.open_from, keeper.floor, keeper.under, keeper.kept = open_from, floor, NUMBERS, dict(kept)
+        return keeper
+
+    def _asker(self, world: World, at: int) -> Asker:
+        name, claim, looked, count = world.askers[at]
+        asker = Asker(name, self.terms, _Least)
+        asker.claims, asker.looked, asker.round = {TASK: claim}, looked, count
+        return asker
+
+    def _put(self, world: World, at: int, asker: Asker, out: list) -> World:
+        entry = (asker.name, asker.claims[TASK], asker.looked, asker.round)
+        flight = list(world.flight)
+        for action in out:
+            if isinstance(action, Held):
+                world = self._held(world, asker.name, action.fence)
+            elif hasattr(action, "keeper"):
+                flight.append((self.terms.keepers.index(action.keeper), at, action.what))
+        askers = world.askers[:at] + (entry,) + world.askers[at + 1:]
+        return world._replace(askers=askers, flight=tuple(flight[-FLIGHT:]))
+
+    @staticmethod
+    def _held(world: World, name: str, fence: int) -> World:
+        if fence <= world.fence and name != world.holder:
+            raise Breach(f"{name} holds under {fence}, not over {world.fence} of {world.holder}")
+        return world._replace(fence=max(fence, world.fence), holder=name)
+
+    def judge(self, world: World) -> None:
+        """No two hold at one moment, each by its own clock."""
+        holders = [name for name, claim, _, _ in world.askers if claim.holds(world.now * STEP * self.slow)]
+        if len(holders) > 1:
+            raise Breach(f"{' and '.join(holders)} hold at step {world.now}")
+
+    # Moves
+
+    def moves(self, world: World) -> list[tuple]:
+        """All that may happen next."""
+        found: list[tuple] = [("time",)]
+        found += [("look", at) for at, entry in enumerate(world.askers)
+                  if entry[2] < world.now * STEP * self.slow or not entry[3]]  # fmt: skip
+        seen = set()
+        for at, message in enumerate(world.flight):
+            if message not in seen:
+                seen.add(message)
+                found.append(("deliver", at))
+                found += [("double", at)] if world.doubles else []
+        if world.crashes:
+            found += [("crash keeper", at) for at in range(len(world.keepers))]
+            found += [("crash asker", at) for at in range(len(world.askers))]
+        return found
+
+    def make(self, world: World, move: tuple) -> World:
+        """Make one move and judge what came of it."""
+        kind = move[0]
+        if kind == "time":
+            world = world._replace(now=world.now + 1)
+        elif kind == "look":
+            asker = self._asker(world, move[1])
+            world = self._put(world, move[1], asker, asker.decide(world.now * STEP * self.slow, Tick()))
+        elif kind in ("deliver", "double"):
+            world = self._deliver(world, move[1], kind == "double")
+        elif kind == "crash keeper":
+            # Its memory is gone; what disk has is not. It is back at once, which is the worst.
+            kept, _, floor = world.keepers[move[1]]
+            promised = max([floor, *(entry.promised for _, entry in kept)])
+            keeper = Keeper(self.terms, world.now * STEP * self.fast, promised)
+            entry = ((), keeper.open_from, keeper.floor)
+            keepers = world.keepers[:move[1]] + (entry,) + world.keepers[move[1] + 1:]
+            world = world._replace(keepers=keepers, crashes=world.crashes - 1)
+        else:
+            name, start = world.askers[move[1]][0].split(".")
+            asker = Asker(f"{name}.{int(start) + 1}", self.terms, _Least)
+            world = world._replace(crashes=world.crashes - 1)
+            world = self._put(world, move[1], asker, asker.decide(world.now * STEP * self.slow, Want(TASK)))
+        self.judge(world)
+        return world
+
+    def _deliver(self, world: World, at: int, double: bool) -> World:
+        to, sender, words = world.flight[at]
+        rest = world.flight if double else world.flight[:at] + world.flight[at + 1:]
+        world = world._replace(flight=rest, doubles=world.doubles - double)
+        if hasattr(words, "asker"):
+            keeper = self._keeper(world, to)
+            reply, _, freed = keeper.decide(world.now * STEP * self.fast, words)
+            entry = (tuple(keeper.kept.items()), keeper.open_from, keeper.floor)
+            keepers = world.keepers[:to] + (entry,) + world.keepers[to + 1:]
+            # A reply to one that has crashed since finds nobody.
+            told = [(sender, to, (words.asker, Told(self.terms.keepers[to], reply)))]
+            told += [(at, to, (entry[0], Freed(TASK))) for at, entry in enumerate(world.askers)
+                     if entry[0] in freed]  # fmt: skip
+            return world._replace(keepers=keepers, flight=(*world.flight, *told)[-FLIGHT:])
+        name, event = words
+        asker = self._asker(world, to)
+        if asker.name != name:
+            return world
+        return self._put(world, to, asker, asker.decide(world.now * STEP * self.slow, event))
+
+
+def walk(explorer: Explorer, chance: random.Random, length: int) -> int:
+    """Make moves as drawn; returns how many hand-overs were seen. A breach tells its seed by the moves."""
+    world, made, fences = explorer.first, [], set()
+    # Days differ: quick and slow networks, many crashes and none. Time passes seldom beside messages, or
+    # nothing would ever be agreed.
+    often = {"time": chance.choice((0.3, 1.0, 2.0)), "look": chance.choice((0.5, 2.0)),
+             "deliver": chance.choice((1.0, 3.0))}  # fmt: skip
+    rare = chance.choice((0.02, 0.2))
+    try:
+        for _ in range(length):
+            moves = explorer.moves(world)
+            move = chance.choices(moves, [often.get(move[0], rare) for move in moves])[0]
+            made.append(move)
+            world = explorer.make(world, move)
+            fences.add(world.fence)
+    except Breach as breach:
+        raise Breach(f"{breach}; after {len(made)} moves, the last {made[-20:]}") from None
+    return len(fences) - 1
+
+
+def search(explorer: Explorer, states: int) -> tuple[int, int, bool]:
+    """Try all orders, the shortest first, up to so many states; returns states, depth, whether all were."""
+    seen, line, depth = {explorer.first}, deque([(explorer.first, 0, ())]), 0
+    while line:
+        world, depth, made = line.popleft()
+        for move in explorer.moves(world):
+            try:
+                after = explorer.make(world, move)
+            except Breach as breach:
+                raise Breach(f"{breach}; after {len(made) + 1} moves {(*made, move)}") from None
+            if after not in seen:
+                if len(seen) >= states:
+                    return len(seen), depth, False
+                seen.add(after)
+                line.append((after, depth + 1, (*made, move)))
+    return len(seen), depth, True
+
+
+def main(words: list[str] | None = None) -> int:
+    """Explore as asked; 0 where nothing was breached, 1 on a breach, 2 on a bad call."""
+    parser = argparse.ArgumentParser(
+        description="Try interleavings of the lease machines and judge each state.",
+        epilog="example: python -m lotusroute.rig.explorer --walks 20000 --askers 3",
+    )
+    parser.add_argument("--walks", type=int, default=0, help="drawn orders to try")
+    parser.add_argument("--length", type=int, default=120, help="moves of each")
+    parser.add_argument("--seed", type=int, default=1, help="of the draws")
+    parser.add_argument("--search", type=int, default=0, metavar="STATES",
+                        help="try all orders up to so many states")
+    parser.add_argument("--askers", type=int, default=2, help="who ask")
+    parser.add_argument("--keepers", type=int, default=3, help="who keep")
+    parser.add_argument("--crashes", type=int, default=1, help="processes that crash in one order")
+    said = parser.parse_args(words)
+    if not said.walks and not said.search:
+        parser.error("nothing to do: give --walks N or --search STATES")
+    explorer = Explorer(said.askers, said.keepers, crashes=said.crashes)
+    began = time.monotonic()
+    try:
+        if said.search:
+            states, depth, whole = search(explorer, said.search)
+            print(f"search: {states} states, {depth} moves deep, {'all' if whole else 'cut off there'}, "
+                  f"{time.monotonic() - began:.1f} s, no breach")  # fmt: skip
+        chance, overs = random.Random(said.seed), 0
+        for _ in range(said.walks):
+            overs += walk(explorer, chance, said.length)
+        if said.walks:
+            print(f"walks: {said.walks} of {said.length} moves, {overs} hand-overs, "
+                  f"{time.monotonic() - began:.1f} s, no breach")  # fmt: skip
+    except Breach as breach:
+        print(f"explorer: breach: {breach}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,285 @@
+"""Stories of the leases: the machines by themselves, all orders of what may happen, and mutants."""
+
+import random
+
+import pytest
+
+from lotusroute.leases import asker as asker_module
+from lotusroute.leases import keeper as keeper_module
+from lotusroute.leases.asker import Asker
+from lotusroute.leases.keeper import BLOCK, Keeper
+from lotusroute.leases.words import (
+    HELD,
+    LOW,
+    SILENT,
+    Ask,
+    Freed,
+    Held,
+    Leave,
+    Lost,
+    Prepare,
+    Propose,
+    Release,
+    Terms,
+    Tick,
+    Told,
+    Want,
+)
+from lotusroute.rig import explorer as rig
+
+TERMS = Terms(("k1", "k2", "k3"))
+
+
+class Fleet:
+    """Three keepers, some askers and a network that loses what `cut` says; all clocks are one."""
+
+    def __init__(self, *askers, terms=TERMS):
+        self.now, self.terms, self.cut = 0.0, terms, set()
+        self.keepers = {}
+        for name in terms.keepers:
+            keeper = self.keepers[name] = Keeper(terms, -10_000.0, 0)
+            keeper.reserved(BLOCK)
+        self.askers = {name: Asker(name, terms, random.Random(at)) for at, name in enumerate(askers)}
+        self.log = []
+
+    def tell(self, name, event):
+        """Give an asker an event, and all that follows from it."""
+        asks = self.askers[name].decide(self.now, event)
+        for action in asks:
+            if not isinstance(action, Ask):
+                self.log.append((name, action))
+        for action in asks:
+            if isinstance(action, Ask) and not {(name, action.keeper), (action.keeper, name)} & self.cut:
+                keeper = self.keepers[action.keeper]
+                reply, reserve, freed = keeper.decide(self.now, action.what)
+                if reserve:
+                    keeper.reserved(reserve.under)
+                self.tell(name, Told(action.keeper, reply))
+                for waiting in freed:
+                    self.tell(waiting, Freed("t"))
+
+    def wait(self, ms, *names):
+        """Let time pass, in steps; those named look at their clocks."""
+        until = self.now + ms
+        while self.now < until:
+            self.now = min(until, self.now + 100.0)
+            for name in names or self.askers:
+                self.tell(name, Tick())
+
+    def holders(self):
+        return [name for name, asker in self.askers.items() if asker.fence("t", self.now)]
+
+
+def test_one_asker_holds_and_renews_and_another_takes_over_at_once_when_it_leaves():
+    fleet = Fleet("a", "b")
+    fleet.tell("a", Want("t"))
+    fleet.tell("b", Want("t"))
+    assert fleet.holders() == ["a"] and fleet.log == [("a", Held("t", 1))]
+    fleet.wait(10_000.0)
+    assert fleet.holders() == ["a"] and len(fleet.log) == 1
+    fleet.tell("a", Leave("t"))
+    fleet.wait(200.0)  # told by the keepers; by time alone it would ask again after a lease
+    fence = fleet.askers["b"].fence("t", fleet.now)
+    assert fleet.holders() == ["b"] and fleet.log[-1] == ("b", Held("t", fence)) and fence > 1
+
+
+def test_a_holder_that_is_cut_off_ends_before_its_keepers_let_go():
+    fleet = Fleet("a", "b")
+    fleet.tell("a", Want("t"))
+    fleet.tell("b", Want("t"))
+    fleet.cut = {("a", keeper) for keeper in fleet.keepers}
+    fleet.wait(2_800.0)
+    assert fleet.holders() == ["a"]
+    fleet.wait(100.0)
+    assert fleet.holders() == [] and fleet.log[-1] == ("a", Lost("t", "lapsed"))
+    fleet.wait(500.0)
+    assert fleet.holders() == ["b"]
+
+
+def test_a_holder_that_stood_still_gives_way_and_its_act_must_not_begin_near_the_end():
+    fleet = Fleet("a", "b")
+    fleet.tell("a", Want("t"))
+    asker = fleet.askers["a"]
+    assert asker.fence("t", 0.0, longest=2_800.0) == 1 and asker.fence("t", 0.0, longest=2_900.0) == 0
+    fleet.tell("b", Want("t"))
+    fleet.wait(1_500.0, "b")
+    fleet.tell("a", Tick())
+    assert fleet.log[-1] == ("a", Lost("t", "stalled")) and fleet.holders() == []
+    fleet.wait(200.0, "b")
+    assert fleet.holders() == ["b"]
+
+
+def test_two_that_split_the_keepers_draw_apart():
+    fleet = Fleet("a", "b")
+    fleet.cut = {("a", "k3"), ("b", "k1")}
+    fleet.tell("a", Want("t"))
+    fleet.tell("b", Want("t"))
+    fleet.cut = set()
+    fleet.wait(5_000.0)
+    assert len(fleet.holders()) == 1
+
+
+def test_a_holder_gives_way_after_its_term_where_another_asks_and_else_goes_on():
+    fleet = Fleet("a", terms=TERMS._replace(term=5_000.0))
+    fleet.tell("a", Want("t"))
+    fleet.wait(20_000.0)
+    assert len(fleet.log) == 1
+    fleet.askers["b"] = Asker("b", fleet.terms, random.Random(9))
+    fleet.tell("b", Want("t"))
+    fleet.wait(10_000.0)
+    assert fleet.log[1] == ("a", Lost("t", "term over")) and fleet.log[2][0] == "b"
+    assert isinstance(fleet.log[2][1], Held) and len(fleet.holders()) == 1
+
+
+def test_a_keeper_that_restarts_is_silent_for_the_longest_lease_and_its_numbers_never_fall():
+    fleet = Fleet("a")
+    fleet.tell("a", Want("t"))
+    back = Keeper(TERMS, 100.0, BLOCK)
+    reply, reserve, _ = back.decide(3_000.0, Prepare("t", 5, "b", 1))
+    assert (reply.yes, reply.why, reply.seen, reserve) == (False, SILENT, BLOCK, None)
+    assert back.decide(3_200.0, Prepare("t", 5, "b", 2))[0].why == LOW  # it may have been promised before
+    _, reserve, _ = back.decide(3_300.0, Prepare("t", BLOCK + 1, "b", 3))
+    assert reserve.under > BLOCK + 1  # on disk first, and the asker comes again
+    back.reserved(reserve.under)
+    assert back.decide(3_400.0, Prepare("t", BLOCK + 1, "b", 4))[0].yes
+
+
+def test_all_keepers_killed_at_once_let_no_fence_fall():
+    fleet = Fleet("a", "b")
+    fleet.tell("a", Want("t"))
+    fence = fleet.askers["a"].fence("t", 0.0)
+    fleet.keepers = {name: Keeper(TERMS, fleet.now, BLOCK) for name in TERMS.keepers}
+    fleet.askers = {"c": Asker("c", TERMS, random.Random(1))}
+    fleet.tell("c", Want("t"))
+    fleet.wait(3_000.0)
+    assert fleet.holders() == []
+    fleet.wait(2_000.0)
+    assert fleet.askers["c"].fence("t", fleet.now) > BLOCK > fence
+
+
+def test_a_keeper_refuses_a_lower_number_a_longer_lease_and_another_while_one_holds():
+    keeper = Keeper(TERMS, -10_000.0, 0)
+    keeper.reserved(BLOCK)
+    assert keeper.decide(0.0, Prepare("t", 3, "a", 1))[0].yes
+    assert keeper.decide(0.0, Propose("t", 2, "b", 1, 3_000.0))[0].why == LOW
+    assert keeper.decide(0.0, Propose("t", 3, "a", 2, 9_000.0))[0].why == "long"
+    assert keeper.decide(0.0, Propose("t", 3, "a", 3, 3_000.0))[0].yes
+    held = keeper.decide(1_000.0, Prepare("t", 4, "b", 1))[0]
+    assert (held.why, held.left) == (HELD, 2_000.0)
+    assert keeper.decide(1_100.0, Propose("t", 3, "a", 4, 3_000.0))[0].wanted
+    assert keeper.decide(1_200.0, Release("t", 3, "b", 1))[0].yes  # not its own: nothing is let go
+    assert keeper.decide(1_300.0, Prepare("t", 4, "b", 2))[0].why == HELD
+    keeper.decide(1_400.0, Release("t", 3, "a", 5))
+    assert keeper.decide(1_500.0, Prepare("t", 4, "b", 3))[0].yes
+
+
+def test_a_liars_numbers_and_names_take_no_room_for_good():
+    keeper = Keeper(TERMS, -10_000.0, 0)
+    keeper.reserved(BLOCK)
+    assert not keeper.decide(0.0, Prepare("t", 2**62, "a", 1))[0].yes
+    for at in range(keeper_module.TASKS):
+        assert keeper.decide(0.0, Propose(f"t{at}", 7, "a", 1, 3_000.0))[0].yes
+    assert keeper.decide(100.0, Prepare("one more", 8, "a", 2))[0].why == "full"
+    assert keeper.decide(7_000.0, Prepare("one more", 8, "a", 3))[0].yes
+    assert len(keeper.kept) == keeper_module.TASKS and keeper.floor == 7
+
+
+def _late_answer(asker):
+    """Three keepers say yes at once, one of them late; then one is cut off and the asker renews."""
+    ask = next(action.what for action in asker.decide(0.0, Want("t")))
+    keepers = {name: Keeper(TERMS, -10_000.0, 0) for name in TERMS.keepers}
+    for keeper in keepers.values():
+        keeper.reserved(BLOCK)
+
+    def told(now, name, ask):
+        return asker.decide(now, Told(name, keepers[name].decide(now, ask)[0]))
+
+    told(0.0, "k1", ask)
+    propose = told(0.0, "k2", ask)[0].what
+    late = Told("k3", keepers["k3"].decide(0.0, propose)[0])
+    told(0.0, "k1", propose)
+    told(0.0, "k2", propose)
+    asker.decide(900.0, Tick())
+    renewal = next(action.what for action in asker.decide(1_500.0, Tick()))
+    told(1_500.0, "k1", renewal)
+    asker.decide(1_500.0, late)  # of the first round: k3 lets go at 3 s
+    return asker.fence("t", 3_500.0)
+
+
+def test_an_answer_from_an_earlier_round_does_not_make_the_lease_longer(monkeypatch):
+    # Found by thought when the explorer was written: both rounds have one number, the keeper lets go a lease
+    # after the first. The mutant that counts it would act for half a second beside the next holder.
+    assert _late_answer(Asker("a", TERMS, random.Random(1))) == 0
+    real = Asker._told
+    monkeypatch.setattr(Asker, "_told", lambda me, keeper, reply, now: real(
+        me, keeper, reply._replace(round=me.claims[reply.task].round), now))  # fmt: skip
+    assert _late_answer(Asker("a", TERMS, random.Random(1))) == 1
+
+
+def explore(walks, seed=1, **world):
+    """Walk as often as that; raises at the first breach."""
+    chance, world = random.Random(seed), rig.Explorer(**world)
+    return sum(rig.walk(world, chance, 120) for _ in range(walks))
+
+
+def test_no_order_of_messages_crashes_and_stalls_makes_two_holders():
+    assert explore(600) > 600
+    assert explore(300, askers=3) > 300
+    assert rig.search(rig.Explorer(crashes=0, doubles=0), 20_000)[0] == 20_000
+
+
+def _from_the_answer(patch):
+    real = Asker._agreed
+    patch.setattr(Asker, "_agreed",
+                  lambda me, task, claim, now: real(me, task, claim._replace(began=now), now))  # fmt: skip
+
+
+def _no_silence(patch):
+    def start(me, terms, now, floor):
+        real(me, terms, now, floor)
+        me.open_from = now
+
+    real = Keeper.__init__
+    patch.setattr(Keeper, "__init__", start)
+
+
+def _lower_numbers(patch):
+    real = keeper_module.answer
+    patch.setattr(keeper_module, "answer",
+                  lambda kept, now, ask, terms: real(kept._replace(promised=0), now, ask, terms))  # fmt: skip
+
+
+def _no_disk(patch):
+    real = Keeper.__init__
+    patch.setattr(Keeper, "__init__", lambda me, terms, now, floor: real(me, terms, now, 0))
+
+
+def _half(patch):
+    patch.setattr(Terms, "majority", property(lambda terms: len(terms.keepers) // 2))
+
+
+MUTANTS = {
+    "lease counted from the answer": (_from_the_answer, {}),
+    "no silence after a restart": (_no_silence, {}),
+    "lower number accepted": (_lower_numbers, {}),
+    "numbers not on disk": (_no_disk, {"crashes": 3}),
+    "half is enough": (_half, {}),
+    "no allowance for clocks": (lambda patch: None, {"known_drift": 0.0}),
+}
+
+
+@pytest.mark.parametrize("name", MUTANTS)
+def test_the_explorer_convicts(name, monkeypatch):
+    mutate, world = MUTANTS[name]
+    mutate(monkeypatch)
+    with pytest.raises(rig.Breach):
+        explore(4_000, **world)
+
+
+def test_the_explorers_command_says_what_it_saw_and_refuses_an_empty_call(capsys):
+    assert rig.main(["--walks", "20", "--search", "200"]) == 0
+    assert "search: 200 states" in capsys.readouterr().out
+    with pytest.raises(SystemExit) as ended:
+        rig.main([])
+    assert ended.value.code == 2 and "give --walks N" in capsys.readouterr().err
+    assert asker_module.TASKS == 64
