Balancers linked over AMP hold leases; three processes hand a task on when one ends, dies or stands

Need: the lease machines want a way between processes, bounded, that a stalled or hostile peer can't hurt, and a proof with processes. Change: `lotusroute/fleet/` has the operator's file (checked by key, named by LB_FLEET), the link (AMP and msgspec; calls, bytes, time, connections and redials bounded, each bound with a counter), the keeper's number on disk, and the part that joins them to the machines. `leases show` and `fleet show` ask a running fleet. `lotusroute/rig/processes.py` starts and hurts processes of the real program. Off in `run`: without LB_FLEET nothing of it is imported (a story looks at sys.modules). Drawn bytes, cut and changed boxes end a connection at most.

--- a/lotusroute/__main__.py
+++ b/lotusroute/__main__.py
@@ -35,7 +35,11 @@
 
 
 def main() -> int:
-    """Run until told to stop; 0 after an orderly end, 2 where the start is faulty."""
+    """Run until told to stop; 0 after an orderly end, 2 where the start is faulty. Words are a command."""
+    if len(sys.argv) > 1:
+        from lotusroute.cli import command
+
+        return command(prog_name="lotusroute")
     try:
         posting = startup.read(os.environ)
         remembered = _remembered(posting)
@@ -54,12 +58,19 @@
         return 2
     standing = Standing(posting, owner, clients, counts)
     reactor.callWhenRunning(standing.follow)
+    try:
+        fleet = _fleet(posting, counts)
+    except Malformed as fault:
+        print(f"lotusroute: {fault}", file=sys.stderr)
+        return 2
 
     def finish() -> None:
         if reactor.running:
             reactor.stop()
 
     def stop() -> None:
+        if fleet is not None:
+            fleet.stop()
         owner.stop(finish)
 
     # What stands at the start is not looked through again; looks at all flows come seldom, for they stall us.
@@ -81,6 +92,25 @@
     return 0
 
 
+def _fleet(posting: startup.Posting, counts: log.Counts):
+    """Start the fleet's parts where the operator's file asks for them; else nothing of them is imported."""
+    file = startup.fleet_file(os.environ)
+    if not file:
+        return None
+    try:
+        from lotusroute.fleet import part, plan
+    except ImportError as fault:
+        raise Malformed(f"LB_FLEET: {fault}; install lotusroute[fleet]") from None
+    fleet = part.Part(reactor, plan.read(file), posting.name, counts)
+
+    def unheard(reason) -> None:
+        # Without its link this balancer is alone, and serves as without the file.
+        log.say("fleet's address not open", logging.WARNING, why=str(reason.value))
+
+    reactor.callWhenRunning(lambda: fleet.start().addErrback(unheard))
+    return fleet
+
+
 class Standing:
     """What the running balancer was last told, and the discovery that it follows by it."""
 
--- /dev/null
+++ b/lotusroute/cli.py
@@ -0,0 +1,115 @@
+"""The commands beside the balancer itself.
+
+Owns what an operator may ask of a running fleet, and how it is printed. It must never change what it looks
+at. Exit 0 where all that were asked answered, 1 where one did not, 2 on wrong use.
+"""
+
+import json
+import sys
+
+import click
+from twisted.internet import defer, reactor
+
+from lotusroute.fleet import link, plan
+from lotusroute.vip import Malformed
+
+FILE = click.option("--fleet", "file", required=True, envvar="LB_FLEET", type=click.Path(),
+                    help="the operator's file on the fleet; else LB_FLEET")  # fmt: skip
+PEER = click.option("--peer", "peers", multiple=True, help="only this balancer; may be repeated")
+JSON = click.option("--json", "as_json", is_flag=True, help="print JSON, one object by balancer")
+
+
+@click.group()
+def command() -> None:
+    """Ask a running fleet. Without a command `lotusroute` runs a balancer, told by LB_CONFIG."""
+
+
+@command.group()
+def leases() -> None:
+    """Who holds which fleet-wide task."""
+
+
+@command.group()
+def fleet() -> None:
+    """Who is linked with whom."""
+
+
+def _ask(file: str, peers: tuple[str, ...]) -> tuple[dict[str, dict], dict[str, str]]:
+    """Ask balancers what they show; returns what came by name, and why nothing did."""
+    try:
+        told = plan.read(file)
+        for peer in peers:
+            if peer not in told.peers:
+                raise Malformed(f"--peer {peer}: not among the peers of {file}: {', '.join(told.peers)}")
+    except Malformed as fault:
+        click.echo(f"lotusroute: {fault}", err=True)
+        sys.exit(2)
+    names = peers or tuple(told.peers)
+    shown, missing = {}, {}
+
+    def done(results: list) -> None:
+        for name, (well, value) in zip(names, results, strict=True):
+            if well:
+                shown[name] = json.loads(value)
+            else:
+                missing[name] = str(value.value) or type(value.value).__name__
+        reactor.stop()
+
+    def begin() -> None:
+        calls = [link.look(reactor, told, name) for name in names]
+        defer.DeferredList(calls, consumeErrors=True).addCallback(done)
+
+    reactor.callWhenRunning(begin)
+    reactor.run(installSignalHandlers=False)
+    return shown, missing
+
+
+def _finish(shown: dict, missing: dict, as_json: bool, lines: list[str]) -> None:
+    if as_json:
+        click.echo(json.dumps({"balancers": shown, "missing": missing}, indent=1))
+    else:
+        for line in lines:
+            click.echo(line)
+        for name, why in missing.items():
+            click.echo(f"{name}: no answer ({why})")
+    sys.exit(int(bool(missing)))
+
+
+@leases.command("show")
+@FILE
+@PEER
+@JSON
+def leases_show(file: str, peers: tuple[str, ...], as_json: bool) -> None:
+    """Show what each balancer holds and what each keeper grants.
+
+    Example: lotusroute leases show --fleet deploy/fleet.toml --peer n1
+    """
+    shown, missing = _ask(file, peers)
+    lines = []
+    for name, state in shown.items():
+        for task, claim in state["tasks"].items():
+            holds = f"holds under {claim['fence']}, {claim['left_ms']} ms left"
+            lines.append(f"{name}: {task}: {holds if claim['holds'] else claim['step']}")
+        for task, kept in state["keeps"].items():
+            lines.append(f"{name}: keeps {task}: {kept['holder'] or 'nobody'} under {kept['fence']}, "
+                         f"{kept['left_ms']} ms left")  # fmt: skip
+        if state["keeper_silent_ms"]:
+            lines.append(f"{name}: keeper silent for {state['keeper_silent_ms']} ms more")
+    _finish(shown, missing, as_json, lines)
+
+
+@fleet.command("show")
+@FILE
+@PEER
+@JSON
+def fleet_show(file: str, peers: tuple[str, ...], as_json: bool) -> None:
+    """Show who is linked with whom.
+
+    Example: lotusroute fleet show --fleet deploy/fleet.toml --json
+    """
+    shown, missing = _ask(file, peers)
+    lines = []
+    for name, state in shown.items():
+        out, into = (" ".join(state["ways"][way]) or "nobody" for way in ("out", "in"))
+        lines.append(f"{name}: {'keeper, ' * state['keeper']}to {out}, from {into}")
+    _finish(shown, missing, as_json, lines)
--- /dev/null
+++ b/lotusroute/fleet/link.py
@@ -0,0 +1,292 @@
+"""The link between balancers: calls with a name, bytes there and bytes back, over Twisted's AMP.
+
+Owns the connections between peers, who they are with, and the bounds on all of it: bytes and calls in flight,
+the time of a call, connections, redials. It must never know what a call means, hold the reactor up, let one
+peer's stall cost another anything, or fall over what a peer sends.
+"""
+
+import contextlib
+import random
+from collections import Counter
+from collections.abc import Callable
+
+from twisted.internet import defer, endpoints
+from twisted.internet.protocol import Factory
+from twisted.protocols import amp
+from twisted.python import failure
+
+from lotusroute.fleet.plan import Plan
+from lotusroute.net.log import say
+
+FORM = 1  # of what is said on the link: who speaks another is let go
+BODY = 60_000  # bytes of one call or answer: AMP carries 65,535
+CALLS = 64  # calls in flight to one peer: more wait for nothing, they fail at once
+BYTES = 262_144  # the same in bytes: what a stalled peer may hold of our memory
+CALL = 1.0  # s for an answer: a lease's patience is less, a list may take longer than a word
+STALLED = 3  # calls in a row without an answer after which a connection is given up
+HELLO = 2.0  # s for a newcomer to say who it is
+REDIAL = 0.1, 5.0  # s, first and longest pause before dialling again; doubled, and half of it drawn
+DIAL = 2.0  # s for a connection to come up
+BACKLOG = 64  # connections that may wait to be accepted
+EACH = 4  # connections that one peer may have here: one, and those that died without a word
+
+
+class Failed(Exception):
+    """A call that brought nothing; says why: unreachable, crowded, late, stranger, large."""
+
+
+class Hello(amp.Command):
+    """Who we are; the first call on a connection."""
+
+    arguments = [(b"fleet", amp.Unicode()), (b"form", amp.Integer()), (b"name", amp.Unicode())]
+    response = [(b"name", amp.Unicode())]
+
+
+class Call(amp.Command):
+    """A call by its name."""
+
+    arguments = [(b"kind", amp.Unicode()), (b"body", amp.String())]
+    response = [(b"body", amp.String())]
+    errors = {Failed: b"FAILED"}
+
+
+class Way(amp.AMP):
+    """One connection, whoever dialled it."""
+
+    noisy = False
+
+    def __init__(self, link: "Link", peer: str = "") -> None:
+        super().__init__()
+        self.link, self.peer = link, peer  # empty until a newcomer has said it
+        self.calls = self.bytes = self.unanswered = 0
+        self.greeted = False
+        self.timer = None
+
+    def connectionMade(self) -> None:
+        super().connectionMade()
+        self.transport.setTcpNoDelay(True)
+        self.transport.setTcpKeepAlive(True)
+        if not self.peer:
+            self.timer = self.link.reactor.callLater(HELLO, self._stranger, "said nothing")
+
+    def dataReceived(self, data: bytes) -> None:
+        try:
+            super().dataReceived(data)
+        except Exception:  # whatever a peer sends ends its connection, and nothing else
+            self.link.counts["link_garbled"] += 1
+            self.transport.abortConnection()
+
+    def unhandledError(self, reason: failure.Failure) -> None:
+        """A call that nobody here knows, or an answer that does not fit."""
+        self.link.counts["link_garbled"] += 1
+        self.transport.abortConnection()
+
+    def connectionLost(self, reason: failure.Failure) -> None:
+        # AMP fails all calls in hand, which were taken off the bounds as they end.
+        super().connectionLost(reason)
+        self._quiet()
+        self.link.lost(self)
+
+    def _quiet(self) -> None:
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
+    def _stranger(self, why: str) -> None:
+        self._quiet()
+        self.link.counts["link_strangers"] += 1
+        say("stranger let go", why=why)
+        self.transport.abortConnection()
+
+    @Hello.responder
+    def hello(self, fleet: str, form: int, name: str) -> dict:
+        """A newcomer says who it is."""
+        plan = self.link.plan
+        known = name in plan.peers or name == LOOKER
+        if self.greeted or self.peer or (fleet, form) != (plan.name, FORM) or not known:
+            self.link.reactor.callLater(0, self._stranger, f"fleet {fleet[:64]} form {form} name {name[:64]}")
+            return {"name": self.link.name}
+        self._quiet()
+        self.peer, self.greeted = name, True
+        self.link.came(self)
+        return {"name": self.link.name}
+
+    @Call.responder
+    def called(self, kind: str, body: bytes):
+        """A peer calls."""
+        if not self.greeted:
+            self.link.reactor.callLater(0, self._stranger, "called before it said who it is")
+            raise Failed("stranger")
+        self.link.counts["link_calls_in"] += 1
+        answer = defer.maybeDeferred(self.link.serve, self.peer, kind, body)
+        answer.addCallbacks(lambda back: {"body": back}, self._refused)
+        return answer
+
+    def _refused(self, reason: failure.Failure) -> None:
+        self.link.counts["link_refused"] += 1
+        raise Failed(str(reason.value)[:200])
+
+    def greet(self, fleet: str, name: str) -> defer.Deferred:
+        """Say who we are; brings who the other is."""
+        hello = self.callRemote(Hello, fleet=fleet, form=FORM, name=name)
+        return hello.addCallback(lambda told: told["name"])
+
+    def ask(self, kind: str, body: bytes) -> defer.Deferred:
+        """Call the peer, within the bounds."""
+        counts, reactor = self.link.counts, self.link.reactor
+        if len(body) > BODY:
+            return defer.fail(Failed("large"))
+        if self.calls >= CALLS or self.bytes + len(body) > BYTES:
+            counts["link_crowded"] += 1
+            return defer.fail(Failed("crowded"))
+        self.calls, self.bytes = self.calls + 1, self.bytes + len(body)
+        counts["link_calls"] += 1
+        told: defer.Deferred = defer.Deferred()
+
+        def ended(result: object) -> None:
+            # Only now: one that is late still takes a place with the peer.
+            self.calls, self.bytes = self.calls - 1, self.bytes - len(body)
+            timer.cancel() if timer.active() else None
+            if told.called:
+                return
+            if isinstance(result, failure.Failure):
+                if not result.check(Failed):
+                    result = failure.Failure(Failed("unreachable"))
+                told.errback(result)
+            else:
+                self.unanswered = 0
+                told.callback(result["body"])
+
+        def late() -> None:
+            counts["link_late"] += 1
+            self.unanswered += 1
+            told.errback(Failed("late"))
+            if self.unanswered >= STALLED:
+                # It takes our bytes and answers nothing: another connection may do better.
+                self.transport.abortConnection()
+
+        timer = reactor.callLater(CALL, late)
+        self.callRemote(Call, kind=kind, body=body).addBoth(ended)
+        return told
+
+
+LOOKER = "-"  # the name of a command that only looks
+
+
+class Link:
+    """All ways of one balancer. Those to peers are dialled when first called and kept up after that."""
+
+    def __init__(self, reactor, plan: Plan, name: str, chance: random.Random, counts,
+                 serve: Callable[[str, str, bytes], object]) -> None:  # fmt: skip
+        self.reactor, self.plan, self.name, self.chance, self.counts = reactor, plan, name, chance, counts
+        self.serve = serve  # (peer, kind, body) to bytes or a Deferred of them; raises Failed to refuse
+        self.out: dict[str, Way] = {}  # by peer, greeted; leave when lost
+        self.came_in: dict[str, list[Way]] = {}  # by peer, EACH at most, the newest last; leave when lost
+        self.dialling: dict[str, float] = {}  # peers that are dialled, and the pause after the next failure
+        self.port = None
+        self.closed = False
+
+    def listen(self) -> defer.Deferred:
+        """Take connections at the own address."""
+        host, port = self.plan.peers[self.name]
+        factory = Factory.forProtocol(lambda: Way(self))
+        factory.noisy = False
+        found = endpoints.TCP4ServerEndpoint(self.reactor, port, BACKLOG, host).listen(factory)
+        return found.addCallback(lambda port: setattr(self, "port", port))
+
+    def close(self) -> None:
+        """End all connections."""
+        self.closed = True
+        if self.port is not None:
+            self.port.stopListening()
+        for way in [*self.out.values(), *(way for ways in self.came_in.values() for way in ways)]:
+            way.transport.loseConnection()
+
+    def call(self, peer: str, kind: str, body: bytes) -> defer.Deferred:
+        """Call a peer; brings its answer, or fails with Failed."""
+        way = self.out.get(peer)
+        if way is None:
+            self.dial(peer)
+            return defer.fail(Failed("unreachable"))
+        return way.ask(kind, body)
+
+    def call_back(self, peer: str, kind: str, body: bytes) -> defer.Deferred:
+        """Call one that has dialled us, on its own connection."""
+        ways = self.came_in.get(peer)
+        return ways[-1].ask(kind, body) if ways else defer.fail(Failed("unreachable"))
+
+    def dial(self, peer: str) -> None:
+        """Keep a way to a peer up from now on."""
+        if self.closed or peer in self.out or peer in self.dialling or peer not in self.plan.peers:
+            return
+        self.dialling[peer] = REDIAL[0]
+        self._dial(peer)
+
+    def _dial(self, peer: str) -> None:
+        if self.closed:
+            return
+        host, port = self.plan.peers[peer]
+        point = endpoints.TCP4ClientEndpoint(self.reactor, host, port, timeout=DIAL)
+        way = Way(self, peer)
+        trying = endpoints.connectProtocol(point, way)
+        trying.addCallback(lambda way: way.greet(self.plan.name, self.name))
+        trying.addTimeout(DIAL + HELLO, self.reactor)
+        trying.addCallbacks(lambda name: self._up(peer, way, name), lambda _: self._down(peer, way))
+
+    def _up(self, peer: str, way: Way, name: str) -> None:
+        if name != peer or way.transport is None or way.transport.disconnecting or self.closed:
+            self.counts["link_strangers"] += name != peer
+            self._down(peer, way)
+            return
+        way.greeted = True
+        del self.dialling[peer]
+        self.out[peer] = way
+        self.counts["link_up"] += 1
+        say("link up", peer=peer)
+
+    def _down(self, peer: str, way: Way) -> None:
+        if way.transport is not None:
+            way.transport.abortConnection()
+        self.counts["link_dials_failed"] += 1
+        pause = self.dialling.get(peer, REDIAL[0])
+        self.dialling[peer] = min(2 * pause, REDIAL[1])
+        self.reactor.callLater(pause * self.chance.uniform(0.5, 1.0), self._dial, peer)
+
+    def came(self, way: Way) -> None:
+        """A newcomer has said who it is."""
+        ways = self.came_in.setdefault(way.peer, [])
+        ways.append(way)
+        if len(ways) > EACH:
+            self.counts["link_too_many"] += 1
+            ways[0].transport.abortConnection()
+
+    def lost(self, way: Way) -> None:
+        """A connection is over."""
+        if self.out.get(way.peer) is way:
+            del self.out[way.peer]
+            self.counts["link_lost"] += 1
+            say("link lost", peer=way.peer)
+            self.dial(way.peer)
+        ways = self.came_in.get(way.peer, [])
+        with contextlib.suppress(ValueError):
+            ways.remove(way)
+        if not ways:
+            self.came_in.pop(way.peer, None)
+
+
+def look(reactor, plan: Plan, peer: str) -> defer.Deferred:
+    """Ask one balancer once what it shows, for a command; brings its bytes."""
+    link = Link(reactor, plan, LOOKER, random.Random(), Counter(), lambda *_: b"")
+    way = Way(link, peer)
+    point = endpoints.TCP4ClientEndpoint(reactor, *plan.peers[peer], timeout=DIAL)
+    asked = endpoints.connectProtocol(point, way)
+    asked.addCallback(lambda way: way.greet(plan.name, LOOKER))
+    asked.addCallback(lambda _: way.ask("show", b""))
+    asked.addTimeout(DIAL + HELLO, reactor)
+
+    def end(result: object) -> object:
+        link.closed = True
+        if way.transport is not None:
+            way.transport.loseConnection()
+        return result
+
+    return asked.addBoth(end)
--- /dev/null
+++ b/lotusroute/fleet/part.py
@@ -0,0 +1,220 @@
+"""Leases on the link: the one module that joins the pure machines to sockets, timers and the disk.
+
+Owns this balancer's asker, its keeper where it is one, and what travels between them. It must never grant or
+hold by itself, write to disk on the reactor's thread, or touch a flow: with all of it gone the balancer goes
+on as without.
+"""
+
+import math
+import os
+import random
+import time
+from collections.abc import Callable
+
+import msgspec
+from twisted.internet import threads
+
+from lotusroute.fleet import disk
+from lotusroute.fleet.link import LOOKER, Failed, Link
+from lotusroute.fleet.plan import Plan
+from lotusroute.leases.asker import Asker
+from lotusroute.leases.keeper import BLOCK, Keeper, Reserve
+from lotusroute.leases.words import (
+    Ask,
+    Freed,
+    Held,
+    Leave,
+    Lost,
+    Prepare,
+    Propose,
+    Release,
+    Reply,
+    Tick,
+    Told,
+    Want,
+)
+from lotusroute.net.log import say
+from lotusroute.vip import Malformed
+
+WORDS = {"prepare": Prepare, "propose": Propose, "release": Release}  # calls to a keeper, by kind
+SOONEST = 5.0  # ms between two looks at the clock
+
+
+class Part:
+    """The fleet's part of one balancer."""
+
+    def __init__(self, reactor, plan: Plan, name: str, counts,
+                 changed: Callable = lambda task, fence: None) -> None:  # fmt: skip
+        """`changed(task, fence)` is called as a task becomes this balancer's, and with 0 as it ends."""
+        if name not in plan.peers:
+            raise Malformed(f"LB_FLEET: peers: '{name}', this balancer, is not among them")
+        self.reactor, self.plan, self.name, self.counts, self.changed = reactor, plan, name, counts, changed
+        chance = random.Random(os.urandom(16))
+        # A process that comes back under its name is not the one that held.
+        self.asker = Asker(f"{name}#{os.urandom(4).hex()}", plan.terms, chance)
+        self.link = Link(reactor, plan, name, chance, counts, self._serve)
+        self.keeper: Keeper | None = None
+        self.reserving = False
+        self.timer = None
+        self.stopped = False
+        if name in plan.terms.keepers:
+            if not plan.state or not os.path.isdir(plan.state):
+                raise Malformed(f"LB_FLEET: state: '{plan.state}' is no folder, and a keeper needs one")
+            self.keeper = Keeper(plan.terms, self.clock(), disk.load(plan.state))
+
+    @staticmethod
+    def clock() -> float:
+        """Milliseconds of the machine's own clock, which nothing sets."""
+        return time.monotonic() * 1000
+
+    def start(self):
+        """Open the link and ask for the tasks; brings the listening, or its failure."""
+        for keeper in self.plan.terms.keepers:
+            if keeper != self.name:
+                self.link.dial(keeper)
+        if self.keeper is not None:
+            self._reserve(Reserve(self.keeper.floor + BLOCK))
+            silent = self.keeper.open_from - self.clock()
+            self.reactor.callLater(max(0.0, silent) / 1000, say, "keeper speaks", floor=self.keeper.floor)
+        for task in self.plan.tasks:
+            self._decide(Want(task))
+        return self.link.listen()
+
+    def stop(self) -> None:
+        """Let go of all, so that the next holder has it at once."""
+        if self.stopped:
+            return
+        self.stopped = True
+        for task in list(self.asker.claims):
+            self._decide(Leave(task))
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+
+    def fence(self, task: str, longest: float) -> int:
+        """The fence for an act that takes `longest` ms at most; 0 where it must not begin."""
+        return self.asker.fence(task, self.clock(), longest)
+
+    # The asker
+
+    def _decide(self, event) -> None:
+        for action in self.asker.decide(self.clock(), event):
+            if isinstance(action, Ask):
+                self._ask(action)
+            elif isinstance(action, Held):
+                self.counts["leases_held"] += 1
+                say("lease held", task=action.task, fence=action.fence)
+                self.changed(action.task, action.fence)
+            elif isinstance(action, Lost):
+                self.counts[f"leases_lost_{action.why.replace(' ', '_')}"] += 1
+                say("lease lost", task=action.task, why=action.why)
+                self.changed(action.task, 0)
+        self._again()
+
+    def _again(self) -> None:
+        if self.stopped:
+            return
+        due = self.asker.due(self.clock())
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        if due < math.inf:
+            self.timer = self.reactor.callLater(max(SOONEST, due) / 1000, self._decide, Tick())
+
+    def _ask(self, ask: Ask) -> None:
+        if ask.keeper == self.name:
+            # In a turn of its own: the asker is in the middle of deciding.
+            self.reactor.callLater(0, lambda: self._told(self.name, self._keep(ask.what)))
+            return
+        kind = type(ask.what).__name__.lower()
+        call = self.link.call(ask.keeper, kind, msgspec.msgpack.encode(ask.what))
+        call.addCallback(msgspec.msgpack.decode, type=Reply)
+        call.addCallbacks(lambda reply: self._told(ask.keeper, reply), self._no_answer)
+
+    def _told(self, keeper: str, reply: Reply | None) -> None:
+        if reply is not None and not self.stopped:
+            self._decide(Told(keeper, reply))
+
+    def _no_answer(self, reason) -> None:
+        """A keeper that is away says nothing, and time does the rest."""
+        reason.trap(Failed, msgspec.MsgspecError)
+        self.counts["leases_unanswered"] += 1
+
+    # The keeper
+
+    def _serve(self, peer: str, kind: str, body: bytes):
+        if kind == "show":
+            return msgspec.json.encode(self.show())
+        if peer == LOOKER:
+            raise Failed("a command may only look")
+        if kind == "freed":
+            self._decide(msgspec.msgpack.decode(body, type=Freed))
+            return b""
+        if kind not in WORDS or self.keeper is None:
+            raise Failed(f"no keeper, or no call '{kind[:32]}'")
+        try:
+            ask = msgspec.msgpack.decode(body, type=WORDS[kind])
+        except msgspec.MsgspecError as fault:
+            self.counts["link_garbled"] += 1
+            raise Failed(f"{kind}: {fault}") from None
+        if ask.asker.partition("#")[0] != peer:
+            self.counts["leases_strangers"] += 1
+            raise Failed(f"{kind}: asked for another")
+        return msgspec.msgpack.encode(self._keep(ask))
+
+    def _keep(self, ask: Prepare | Propose | Release) -> Reply | None:
+        if self.keeper is None:
+            return None
+        reply, reserve, freed = self.keeper.decide(self.clock(), ask)
+        if not reply.yes:
+            self.counts[f"keeper_{reply.why}"] += 1
+        if reserve is not None:
+            self._reserve(reserve)
+        for waiting in freed:
+            self._free(waiting, ask.task)
+        return reply
+
+    def _free(self, asker: str, task: str) -> None:
+        peer = asker.partition("#")[0]
+        if peer == self.name:
+            self.reactor.callLater(0, lambda: self.stopped or self._decide(Freed(task)))
+            return
+        call = self.link.call_back(peer, "freed", msgspec.msgpack.encode(Freed(task)))
+        call.addErrback(self._no_answer)
+
+    def _reserve(self, reserve: Reserve) -> None:
+        if self.reserving:
+            return
+        self.reserving = True
+        writing = threads.deferToThread(disk.store, self.plan.state, reserve.under)
+
+        def stored(_: object) -> None:
+            self.reserving = False
+            self.keeper.reserved(reserve.under)
+
+        def failed(reason) -> None:
+            # Nothing above what disk has is promised: the fleet goes on with the other keepers.
+            self.reserving = False
+            self.counts["keeper_disk_failed"] += 1
+            say("keeper's disk failed", why=str(reason.value)[:200])
+
+        writing.addCallbacks(stored, failed)
+
+    # What operators see
+
+    def show(self) -> dict:
+        """Tasks, ways and keeper, for `leases show` and `fleet show`; times in ms from now."""
+        now = self.clock()
+        tasks = {
+            task: {"holds": claim.holds(now), "fence": claim.number if claim.holds(now) else 0,
+                   "left_ms": round(claim.until - now) if claim.holds(now) else 0, "step": claim.step,
+                   "highest_seen": claim.seen}
+            for task, claim in self.asker.claims.items()
+        }  # fmt: skip
+        kept = {}
+        if self.keeper is not None:
+            kept = {task: {"holder": entry.holder, "fence": entry.fence, "promised": entry.promised,
+                           "left_ms": round(max(0.0, entry.until - now)) if entry.holder else 0}
+                    for task, entry in self.keeper.kept.items()}  # fmt: skip
+        silent = round(max(0.0, self.keeper.open_from - now)) if self.keeper else 0
+        return {"name": self.name, "fleet": self.plan.name, "tasks": tasks, "keeps": kept,
+                "keeper": self.keeper is not None, "keeper_silent_ms": silent,
+                "ways": {"out": sorted(self.link.out), "in": sorted(self.link.came_in)}}  # fmt: skip
--- a/lotusroute/net/startup.py
+++ b/lotusroute/net/startup.py
@@ -68,6 +68,11 @@
     return posting(told, environ, anew)
 
 
+def fleet_file(environ: Mapping[str, str]) -> str:
+    """The operator's file on the fleet; empty where the fleet's parts are off, as on the platform."""
+    return environ.get("LB_FLEET", "")
+
+
 def load(path: str | os.PathLike) -> dict:
     """Read the file, as far as that it is a JSON object."""
     try:
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,180 @@
+"""Stories of the fleet's link and leases: its input, the operator's file, and several started processes."""
+
+import json
+import random
+import subprocess
+import sys
+import time
+from collections import Counter
+
+import pytest
+from twisted.internet import task
+from twisted.internet.testing import StringTransport
+
+from lotusroute.fleet import disk, plan
+from lotusroute.fleet.link import Link, Way
+from lotusroute.rig.processes import Fleet
+from lotusroute.vip import Malformed
+
+TOLD = {"name": "f", "keepers": ["a", "b", "c"],
+        "peers": {"a": "127.0.0.1:1", "b": "127.0.0.1:2", "c": "127.0.0.1:3"}}  # fmt: skip
+
+
+@pytest.mark.parametrize("change, says", [
+    ({"keepers": ["a", "b"]}, "keepers: 2 named"), ({"keepers": ["a", "b", "d"]}, "add its address there"),
+    ({"peers": {"a": "nowhere"}}, "peers.a: 'nowhere' is not"), ({"lease_ms": "3"}, "lease_ms: give"),
+    ({"tasks": ["dance"]}, "tasks: 'dance' is none of watch"), ({"lease": 3}, "lease: no such key"),
+    ({"keepers": ["a", "a", "b"]}, "keepers: a name stands twice"), ({"name": ""}, "name: not set"),
+    ({"term_ms": True}, "term_ms: give milliseconds"), ({"peers": []}, "peers: give 1 to 1024"),
+])  # fmt: skip
+def test_a_faulty_file_is_named_by_its_key_and_the_mend(change, says, tmp_path):
+    with pytest.raises(Malformed, match=says.replace(".", r"\.")):
+        plan.plan({**TOLD, **change})
+    file = tmp_path / "fleet.toml"
+    file.write_text("name = ")
+    with pytest.raises(Malformed, match=f"LB_FLEET: {file}"):
+        plan.read(file)
+
+
+def test_what_is_on_disk_is_the_old_number_or_the_new_one_and_a_spoilt_file_starts_no_keeper(tmp_path):
+    assert disk.load(tmp_path) == 0
+    disk.store(tmp_path, 1024)
+    disk.store(tmp_path, 2048)
+    assert disk.load(tmp_path) == 2048
+    (tmp_path / "promised.new").write_text("40")  # a crash in the middle of the next
+    assert disk.load(tmp_path) == 2048
+    (tmp_path / disk.FILE).write_text("2049 00000000\n")
+    with pytest.raises(Malformed, match="spoilt"):
+        disk.load(tmp_path)
+
+
+def _way(served=lambda peer, kind, body: body):
+    """One connection from a peer that has not said who it is."""
+    clock, counts = task.Clock(), Counter()
+    way = Way(Link(clock, plan.plan(TOLD), "a", random.Random(1), counts, served))
+    transport = StringTransport()
+    transport.setTcpNoDelay = transport.setTcpKeepAlive = lambda _: None
+    transport.abortConnection = lambda: setattr(transport, "disconnecting", True)
+    way.makeConnection(transport)
+    return way, transport, clock, counts
+
+
+def _box(**pairs):
+    """An AMP box, as it goes over the wire."""
+    out = b""
+    for key, value in pairs.items():
+        key = f"_{key}" if key in ("ask", "command") else key
+        out += len(key).to_bytes(2, "big") + key.encode() + len(value).to_bytes(2, "big") + value
+    return out + b"\0\0"
+
+
+HELLO = _box(ask=b"1", command=b"Hello", fleet=b"f", form=b"1", name=b"b")
+
+
+def test_whatever_a_peer_sends_ends_its_connection_at_most():
+    # Drawn bytes, boxes cut at each byte, and boxes with a byte changed: a counter, never a fall.
+    draw = random.Random(3)
+    call = _box(ask=b"2", command=b"Call", kind=b"show", body=b"x")
+    for at in range(400):
+        way, transport, clock, counts = _way()
+        data = bytearray(HELLO + call)
+        if at % 3 == 0:
+            data = bytearray(draw.randbytes(draw.randrange(1, 300)))
+        elif at % 3 == 1:
+            data = data[: draw.randrange(len(data))]
+        else:
+            data[draw.randrange(len(data))] = draw.randrange(256)
+        way.dataReceived(bytes(data))
+        clock.advance(10.0)
+        assert transport.disconnecting or b"show" not in data or counts["link_calls_in"] <= 1
+
+
+def test_a_stranger_a_silent_one_and_one_that_calls_before_it_says_who_it_is_are_let_go():
+    for first in (HELLO.replace(b"\0\1f", b"\0\1g"), HELLO.replace(b"\0\1b", b"\0\1z"), b"",
+                  _box(ask=b"1", command=b"Call", kind=b"show", body=b"")):  # fmt: skip
+        way, transport, clock, counts = _way()
+        way.dataReceived(first) if first else None
+        clock.advance(2.1)
+        assert transport.disconnecting and counts["link_strangers"] == 1
+    way, transport, clock, counts = _way()
+    way.dataReceived(HELLO)
+    clock.advance(2.1)
+    assert not transport.disconnecting and way.link.came_in == {"b": [way]}
+
+
+def test_a_stalled_peer_holds_bounded_calls_and_bytes_and_is_given_up():
+    way, transport, clock, counts = _way()
+    way.dataReceived(HELLO)
+    failed = []
+    for _ in range(70):
+        way.ask("k", b"x" * 100).addErrback(lambda reason: failed.append(str(reason.value)))
+    assert failed == ["crowded"] * 6 and counts["link_crowded"] == 6
+    clock.advance(1.1)
+    assert failed.count("late") == 64 and transport.disconnecting
+    assert way.calls == 64  # late ones still take their places with the peer
+    way, transport, clock, counts = _way()
+    way.dataReceived(HELLO)
+    for _ in range(5):
+        way.ask("k", b"x" * 59_000).addErrback(lambda reason: failed.append(str(reason.value)))
+    assert failed[-1] == "crowded" and way.bytes <= 262_144
+    way.ask("k", b"x" * 60_001).addErrback(lambda reason: failed.append(str(reason.value)))
+    assert failed[-1] == "large"
+
+
+def _no_two_hold(fleet):
+    """By the rig's clock: fences grow from one holder to the next, whoever they are."""
+    fences = [int(line.fields["fence"]) for line in fleet.lines if line.event == "lease held"]
+    assert fences == sorted(set(fences)), fences
+    return fences
+
+
+def test_three_processes_hand_a_task_on_when_the_holder_ends_is_killed_and_stands_still():
+    with Fleet(3, lease_ms=1_000.0) as fleet:
+        first = fleet.held()
+        ended = time.monotonic()
+        assert fleet.end(first.name) == 0
+        second = fleet.held(first.at)
+        assert second.name != first.name and second.at - ended < 0.5  # a release is told at once
+        fleet.start(first.name)
+        # The one that came back keeps silent for a lease, and after the next kill two must be a majority.
+        fleet.wait(lambda lines: any(line.event == "keeper speaks" and line.name == first.name
+                                     and line.at > second.at for line in lines))  # fmt: skip
+        killed = time.monotonic()
+        fleet.kill(second.name)
+        third = fleet.held(killed)
+        assert third.name != second.name and third.at - killed < 1.0 + 0.5 + 0.5  # the lease, and a try
+        with fleet.stopped(third.name):
+            # Of three keepers one is killed and one stands still: nobody holds until one is back.
+            fleet.start(second.name)
+            fourth = fleet.held(third.at, by=(first.name, second.name))
+        fleet.wait(lambda lines: any(line[1:3] == (third.name, "lease lost") for line in lines))
+        assert fourth.name != third.name and len(_no_two_hold(fleet)) >= 4
+        call = [sys.executable, "-m", "lotusroute", "leases", "show", "--fleet", fleet.file("n1"), "--json"]
+        shown = subprocess.run(call, capture_output=True, text=True, timeout=20, check=False)
+        assert shown.returncode == 0, shown.stderr
+        told = json.loads(shown.stdout)["balancers"]
+        assert sum(state["tasks"]["watch"]["holds"] for state in told.values()) <= 1 and len(told) == 3
+
+
+def test_the_commands_name_a_missing_file_a_wrong_peer_and_a_balancer_that_is_away(tmp_path):
+    def show(*words):
+        call = [sys.executable, "-m", "lotusroute", "fleet", "show", *words]
+        return subprocess.run(call, capture_output=True, text=True, timeout=20, check=False)
+
+    missing = show("--fleet", str(tmp_path / "none.toml"))
+    assert missing.returncode == 2 and "none.toml" in missing.stderr
+    file = tmp_path / "fleet.toml"
+    peers = "\n".join(f'{name} = "127.0.0.1:9"' for name in "abc")
+    file.write_text(f'name = "f"\nkeepers = ["a", "b", "c"]\n[peers]\n{peers}\n')
+    wrong = show("--fleet", str(file), "--peer", "z")
+    assert wrong.returncode == 2 and "--peer z: not among the peers" in wrong.stderr
+    away = show("--fleet", str(file))
+    assert away.returncode == 1 and "a: no answer" in away.stdout
+    assert "Example: lotusroute fleet show" in show("--help").stdout
+
+
+def test_without_the_file_the_program_imports_nothing_of_the_fleet():
+    call = [sys.executable, "-c", "import sys, lotusroute.__main__; print(sorted(sys.modules))"]
+    loaded = subprocess.run(call, capture_output=True, text=True, timeout=20, check=True).stdout
+    for name in ("lotusroute.fleet", "lotusroute.leases", "lotusroute.rig", "msgspec", "click", "tomllib"):
+        assert f"'{name}'" not in loaded
