--- a/lotusroute/rig/judge.py
+++ b/lotusroute/rig/judge.py
@@ -1,7 +1,7 @@
 """Judges what the rig saw: no two hold a task at once, no fence falls.
 
-Owns what counts as a breach in what the processes logged and what was done to them, by the rig's one clock. It
-must never ask a process anything, or take one's word for another.
+Owns what counts as a breach in what the processes logged and what was done to them, by the rig's one clock.
+It must never ask a process anything, or take one's word for another.
 """
 
 from typing import NamedTuple
@@ -28,8 +28,8 @@
 def judge(lines: list[Line]) -> list[Breach]:
     """All breaches in what was logged, in order.
 
-    A holder ends with its own word, with its kill, or while it stands still: what stands still acts on nothing,
-    and what it does when it goes on is refused by its fence. Then its lease has to be over by its own word.
+    A holder ends with its own word, with its kill, or while it stands still: what stands still acts on
+    nothing, and what it does when it goes on is refused by its fence. It then says that its lease is over.
 
     >>> def line(at, name, event, **fields):
     ...     return Line(at, name, event, {"task": "t", **fields})
