One balancer watches discovery for all: the task `watch`, off in `run`

Need: two hundred balancers each watch discovery and are turned away in a herd; one would do. First task on the leases. Change: the holder hands on lists and changes with its fence, discovery's address and version, and every 0.4 s that it listens; the others call by themselves 1.5 s after its last word, or when its version is ahead of theirs. Lists from it are checked as discovery's own. `Discovery` asks before a call where balancers share; without LB_FLEET that is nobody, and the calls are as they were. Result (three processes, one discovery, loopback): at most two calls in 3 s, all hear of a drain within 0.5 s; with the holder killed, and with the next one cut off, the others hear within 2 s.

--- a/lotusroute/__main__.py
+++ b/lotusroute/__main__.py
@@ -59,7 +59,7 @@
     standing = Standing(posting, owner, clients, counts)
     reactor.callWhenRunning(standing.follow)
     try:
-        fleet = _fleet(posting, counts)
+        fleet = _fleet(posting, counts, standing)
     except Malformed as fault:
         print(f"lotusroute: {fault}", file=sys.stderr)
         return 2
@@ -92,16 +92,18 @@
     return 0
 
 
-def _fleet(posting: startup.Posting, counts: log.Counts):
+def _fleet(posting: startup.Posting, counts: log.Counts, standing: "Standing"):
     """Start the fleet's parts where the operator's file asks for them; else nothing of them is imported."""
     file = startup.fleet_file(os.environ)
     if not file:
         return None
     try:
-        from lotusroute.fleet import part, plan
+        from lotusroute.fleet import part, plan, watch
     except ImportError as fault:
         raise Malformed(f"LB_FLEET: {fault}; install lotusroute[fleet]") from None
     fleet = part.Part(reactor, plan.read(file), posting.name, counts)
+    if watch.TASK in fleet.plan.tasks:
+        standing.watch = watch.Watch(fleet)
 
     def unheard(reason) -> None:
         # Without its link this balancer is alone, and serves as without the file.
@@ -118,6 +120,7 @@
         self.first = self.posting = posting
         self.owner, self.clients, self.counts = owner, clients, counts
         self.discovery: Discovery | None = None
+        self.watch = None  # where balancers share what discovery tells
 
     def follow(self) -> None:
         """Follow discovery at the address last told: at the start from the list that is remembered, else from
@@ -129,6 +132,8 @@
             self.discovery.close()
         where, seed = self.posting.discovery, self.posting.seed
         self.discovery = Discovery(where, seq, seed, self.owner.put, self.counts)
+        if self.watch is not None:
+            self.discovery.watch, self.watch.discovery = self.watch, self.discovery
         defer.ensureDeferred(self.discovery.follow())
 
     def read_anew(self) -> None:
--- a/lotusroute/fleet/part.py
+++ b/lotusroute/fleet/part.py
@@ -52,6 +52,7 @@
         chance = random.Random(os.urandom(16))
         # A process that comes back under its name is not the one that held.
         self.asker = Asker(f"{name}#{os.urandom(4).hex()}", plan.terms, chance)
+        self.serves: dict[str, Callable[[str, bytes], bytes]] = {}  # further calls, by kind; set at the start
         self.link = Link(reactor, plan, name, chance, counts, self._serve)
         self.keeper: Keeper | None = None
         self.reserving = False
@@ -148,6 +149,8 @@
         if kind == "freed":
             self._decide(msgspec.msgpack.decode(body, type=Freed))
             return b""
+        if kind in self.serves:
+            return self.serves[kind](peer, body)
         if kind not in WORDS or self.keeper is None:
             raise Failed(f"no keeper, or no call '{kind[:32]}'")
         try:
--- a/lotusroute/net/discovery.py
+++ b/lotusroute/net/discovery.py
@@ -89,6 +89,7 @@
         self.agent = Agent(reactor, connectTimeout=PATIENCE, pool=self.pool)
         self.seq = seq  # of the list that is held; None: the whole list is needed
         self.waiting: defer.Deferred | None = None  # the call or the pause in hand
+        self.watch = None  # who else calls, where balancers share what they hear; asked before each call
         self.closed = False
 
     def close(self) -> None:
@@ -96,12 +97,18 @@
         self.closed = True
         if self.waiting is not None:
             self.waiting.cancel()
+        if self.watch is not None:
+            self.watch.wake()
         self.pool.closeCachedConnections()
 
     async def follow(self) -> None:
         """Go on until closed, or for as long as the balancer runs."""
         pause = 0.0
         while not self.closed:
+            if self.watch is not None:
+                await self.watch.turn(self)
+                if self.closed:
+                    return
             news = await self._call()
             if self.closed:
                 # What the old address still told is not put behind news from the new one.
@@ -112,6 +119,8 @@
                     self.put(news)
                 continue
             self.counts["discovery_failed"] += 1
+            if self.watch is not None:
+                self.watch.failed()
             if not pause:
                 say("discovery failed", reached=news.reached, why=news.why)
             first, longest = REFUSED if news.reached == REFUSAL else FAILED
@@ -137,12 +146,10 @@
                 return Failed(REFUSAL, f"status {answer.code}")
             if answer.code != 200:
                 raise Malformed(f"status {answer.code}")
-            told = json.loads(body)
-            news = listed(told, i.WHOLE if told["whole"] else i.CHANGES)
-            seq = version(told["seq"])
-            if news.scope == i.CHANGES and (self.seq is None or seq < self.seq):
-                raise Malformed(f"changes up to {seq} of a list held at {self.seq}")
-            self.seq = seq
+            told, since = json.loads(body), self.seq
+            news = self._checked(told)
+            if self.watch is not None:
+                self.watch.answered(told, since)
             return news
         except (KeyError, TypeError, ValueError, AttributeError, Malformed) as fault:
             self.seq = None
@@ -150,6 +157,30 @@
         except Exception as fault:  # the HTTP client has dozens, and none may stop the following
             return Failed(reached, f"{type(fault).__name__}: {fault}"[:200])
 
+    def _checked(self, told: dict) -> Listed:
+        """Decode what was told and take its version; raises where it is no list or does not follow ours."""
+        news = listed(told, i.WHOLE if told["whole"] else i.CHANGES)
+        seq = version(told["seq"])
+        if news.scope == i.CHANGES and (self.seq is None or seq < self.seq):
+            raise Malformed(f"changes up to {seq} of a list held at {self.seq}")
+        self.seq = seq
+        return news
+
+    def handed(self, told: dict, since: int | None) -> bool:
+        """Take what another balancer heard from the same discovery, checked like discovery's own; false where
+        it is no list, is older than ours, or is changes to another than ours. We then call by ourselves."""
+        try:
+            if self.closed or self.seq is not None and version(told["seq"]) < self.seq or (
+                not told["whole"] and since != self.seq
+            ):
+                return False
+            news = self._checked(told)
+        except (KeyError, TypeError, ValueError, AttributeError, Malformed):
+            return False
+        if news.servers or news.scope == i.WHOLE:
+            self.put(news)
+        return True
+
     def _within(self, deferred: defer.Deferred, seconds: float) -> defer.Deferred:
         self.waiting = deferred.addTimeout(seconds, reactor)
         return deferred
--- a/lotusroute/rig/processes.py
+++ b/lotusroute/rig/processes.py
@@ -50,11 +50,13 @@
     """
 
     def __init__(self, count: int, keepers: int = 3, tasks: tuple[str, ...] = ("watch",),
-                 lease_ms: float = 3_000.0) -> None:  # fmt: skip
+                 lease_ms: float = 3_000.0, discovery: int = 0, log: str = "INFO") -> None:  # fmt: skip
         self.folder = tempfile.TemporaryDirectory(prefix="lotusroute-rig-")
         self.names = [f"n{n + 1}" for n in range(count)]
         self.ports = {name: free_port() for name in self.names}
         self.keepers, self.tasks, self.lease_ms = self.names[:keepers], tasks, lease_ms
+        self.discovery = discovery or free_port()  # where there is none, nobody is there
+        self.log = log
         self.wires = Wires(self.names, self.ports)
         self.running: dict[str, subprocess.Popen] = {}  # by name; leave when they have ended
         self.readers: dict[str, threading.Thread] = {}  # by name; leave with their process
@@ -76,7 +78,8 @@
         """Start a balancer; what it had on disk is still there."""
         home = pathlib.Path(self.folder.name, name)
         home.mkdir(exist_ok=True)
-        told = {"name": name, "listen": f"127.0.0.1:{free_port()}", "discovery": f"127.0.0.1:{free_port()}",
+        told = {"name": name, "listen": f"127.0.0.1:{free_port()}",
+                "discovery": f"127.0.0.1:{self.discovery}",
                 "seed": name, "settings": SETTINGS, "known": {"seq": 0, "hosts": []}}  # fmt: skip
         (home / "config.json").write_text(json.dumps(told))
         (home / "fleet.toml").write_text(self.plan(name, home))
@@ -84,7 +87,8 @@
             [sys.executable, "-m", "lotusroute"],
             stderr=subprocess.PIPE,
             text=True,
-            env={**os.environ, "LB_CONFIG": str(home / "config.json"), "LB_FLEET": self.file(name)},
+            env={**os.environ, "LB_CONFIG": str(home / "config.json"), "LB_FLEET": self.file(name),
+                 "LB_LOG": self.log},  # fmt: skip
         )
         self.running[name] = process
         self.readers[name] = threading.Thread(target=self._read, args=(name, process), daemon=True)
--- a/lotusroute/rig/wires.py
+++ b/lotusroute/rig/wires.py
@@ -29,6 +29,7 @@
         self.open: dict[tuple[str, str], set[asyncio.StreamWriter]] = {}  # the same; leave at their end
         self.loop = asyncio.new_event_loop()
         self.free: asyncio.Condition | None = None
+        self.servers: list[asyncio.Server] = []  # one for each pair
         self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
         self.thread.start()
         self._do(self._listen())
@@ -39,8 +40,19 @@
     def close(self) -> None:
         """End all ways."""
         self.reset()
+        self._do(self._end())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join(LONGEST)
+        self.loop.close()
+
+    async def _end(self) -> None:
+        """End what still waits, for nobody will let it go."""
+        for server in self.servers:
+            server.close()
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        for one in others:
+            one.cancel()
+        await asyncio.gather(*others, return_exceptions=True)
 
     def address(self, peer: str, of: str) -> int:
         """The port at which `of` reaches `peer`."""
@@ -52,6 +64,7 @@
             for peer in self.names:
                 if of != peer:
                     server = await asyncio.start_server(self._taker(of, peer), "127.0.0.1", 0)
+                    self.servers.append(server)
                     self.listening[of, peer] = server.sockets[0].getsockname()[1]
 
     def _taker(self, of: str, peer: str) -> Callable:
@@ -64,7 +77,7 @@
                 ways.update((writer, far))
                 await asyncio.gather(self._pump(reader, far, (of, peer)),
                                      self._pump(far_reader, writer, (peer, of)))  # fmt: skip
-            except OSError:
+            except (OSError, asyncio.CancelledError):
                 pass
             finally:
                 for end in (writer, far):
@@ -81,8 +94,7 @@
     async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
                     way: tuple[str, str]) -> None:  # fmt: skip
         while data := await reader.read(READ):
-            if way in self.delays:
-                await asyncio.sleep(self.delays[way])
+            await asyncio.sleep(self.delays.get(way, 0.0))
             await self._passes(way)
             if (left := self.cuts.get(way)) is not None:
                 if len(data) >= left:
@@ -92,11 +104,11 @@
                     self._abort(writer)
                     raise ConnectionResetError
                 self.cuts[way] = left - len(data)
-            if way in self.rates:
+            if rate := self.rates.get(way):
                 for byte in data:
                     writer.write(bytes((byte,)))
                     await writer.drain()
-                    await asyncio.sleep(1 / self.rates[way])
+                    await asyncio.sleep(1 / rate)
             else:
                 writer.write(data)
                 await writer.drain()
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,6 +8,7 @@
 from collections import Counter
 
 import pytest
+from fakehost import FakeServer, discovery
 from twisted.internet import task
 from twisted.internet.testing import StringTransport
 
@@ -191,3 +192,42 @@
 def test_drawn_faults_between_processes_make_no_two_holders_and_somebody_holds_after_them(seed):
     outcome = scenario(seed)
     assert outcome.breaches == () and outcome.recovered >= 0, outcome
+
+
+def _hears(fleet, names, state, after):
+    """When the last of these learnt that the server is in that state."""
+    def last(lines):
+        heard = {}
+        for line in lines:
+            if line.at > after and line.event == "listed" and line.fields["state"] == state:
+                heard.setdefault(line.name, line.at)
+        return set(names) <= set(heard) and max(heard[name] for name in names) - after
+
+    return fleet.wait(last)
+
+
+def test_one_watches_discovery_for_all_and_when_it_is_killed_the_others_hear_in_time():
+    server = FakeServer("s1")
+    told = discovery(server)
+
+    def change(state):
+        told.entries = [server.entry(state)]
+        told.seq += 1
+        return time.monotonic()
+
+    with Fleet(3, lease_ms=2_000.0, discovery=told.server_port, log="DEBUG") as fleet:
+        holder = fleet.held()
+        others = [name for name in fleet.names if name != holder.name]
+        fleet.wait(lambda lines: set(others) <= {
+            line.name for line in lines if line.event == "watch followed"})  # fmt: skip
+        time.sleep(4.2)  # the calls that the others had begun by themselves end
+        began = len(told.asked)
+        time.sleep(3.0)
+        assert len(told.asked) - began <= 2  # one watch of 4 s; three of them would be three calls
+        assert _hears(fleet, fleet.names, "draining", change("DRAINING")) < 0.5
+        fleet.kill(holder.name)
+        assert _hears(fleet, others, "ready", change("SERVING")) < 2.0  # nobody holds for two seconds
+        second = fleet.held(holder.at, by=tuple(others))
+        fleet.wires.cut([second.name], [name for name in others if name != second.name])
+        assert _hears(fleet, others, "draining", change("DRAINING")) < 2.0
+    told.shutdown()
