The pace of cuts and the places of few groups act only where a balancer holds less than servers

So the pace costs there: four balancers hold many connections each and know each server by its own signs; a slow one's cuts then refused those who return to sound ones. Line at fault: `_throttled`, which asked only whether the client returns. Change: both act where a balancer holds fewer connections than there are servers, as at 200 balancers (4 to 5 of some 60).

--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -238,7 +238,7 @@
     def _places(self, segment: int) -> int:
         """Over how many servers of its order a segment is spread. One alone cannot hold a group that is a
         tenth of all flows of 80 servers; what this balancer holds of it tells how large it is."""
-        if self.untold and len(self.held) <= SEEN:
+        if self.untold and len(self.held) < len(self.ready):
             # Of four flows held none was of the same group: 36 groups stood on the homes of a third of 60
             # servers, the rest idle. What came lately tells more, and beside it how few groups there are.
             counts, asked = Counter(s for s, _ in self.seen), len(self.seen)
@@ -366,14 +366,13 @@
         """Where most connects fail whatever the server, something that all share is down, and further
         tries keep it down: at a jammed session store 36 connects a flow were made, all day."""
         bad, good, part, spare = self.failed, self.stood, FAILING, SPARE
-        if self.untold and flow.returned:
-            # What overdriven servers cut came again at once and was cut elsewhere: 370 connects a second,
-            # where the warm servers could set up 105. A cut tells of the limit.
+        blind = self.untold and flow.returned and len(self.held) < len(self.ready)
+        if blind:  # What was cut came back at once and was cut elsewhere: 370 connects a second, not 105.
             bad, good, part, spare = bad + self.cut, max(0.0, good - self.cut), CUT, CUT_SPARE
         excess = bad - part * good - spare
         if flow.mid_flow or excess <= 0 or self.chance.random() > excess / (bad + good):
             return False
-        self.failed += not (self.untold and flow.returned)
+        self.failed += not blind
         return True
 
     def _remembers(self, held: _Held, host: _Host) -> bool:
