Read again: a claim is stored once, the other peers are listed in one place

No behaviour changed. `Asker._set` only assigned, and a stall stored each claim twice; `Watch` spelled out all peers but this one twice, now `Part.others`; what makes a drawn scenario bad stood twice in the command, now `Outcome.bad`.

--- a/lotusroute/cli.py
+++ b/lotusroute/cli.py
@@ -100,13 +100,12 @@
     while time.monotonic() < until:
         outcome = scenario(seed + len(played), processes, int(keepers))
         played.append(outcome)
-        bad = bool(outcome.breaches) or outcome.recovered < 0
-        verdict = "BREACH" if bad else "kept"
+        verdict = "BREACH" if outcome.bad else "kept"
         click.echo(f"seed {outcome.seed}: {verdict}, {outcome.hand_overs} hand-overs, held again "
                    f"{outcome.recovered:.2f} s after: {'; '.join(outcome.faults)}", err=True)  # fmt: skip
         for breach in outcome.breaches:
             click.echo(str(breach), err=True)
-    bad = [outcome.seed for outcome in played if outcome.breaches or outcome.recovered < 0]
+    bad = [outcome.seed for outcome in played if outcome.bad]
     times = sorted(outcome.recovered for outcome in played if outcome.recovered >= 0)
     figures = {
         "scenarios": len(played),
--- a/lotusroute/fleet/part.py
+++ b/lotusroute/fleet/part.py
@@ -95,6 +95,10 @@
         """The fence for an act that takes `longest` ms at most; 0 where it must not begin."""
         return self.asker.fence(task, self.clock(), longest)
 
+    def others(self) -> list[str]:
+        """All balancers of the fleet but this one."""
+        return [peer for peer in self.plan.peers if peer != self.name]
+
     # The asker
 
     def _decide(self, event) -> None:
--- a/lotusroute/fleet/watch.py
+++ b/lotusroute/fleet/watch.py
@@ -82,9 +82,8 @@
         self.fence = fence
         self.wake()
         if fence:
-            for peer in self.part.plan.peers:
-                if peer != self.part.name:
-                    self.part.link.dial(peer)
+            for peer in self.part.others():
+                self.part.link.dial(peer)
             self._beat(fence)
 
     def _beat(self, fence: int) -> None:
@@ -103,9 +102,8 @@
             self.counts["watch_too_long"] += 1
             return
         self.counts["watch_told"] += 1
-        for peer in self.part.plan.peers:
-            if peer != self.part.name:
-                self.part.link.call(peer, "watch", body).addErrback(self._untold)
+        for peer in self.part.others():
+            self.part.link.call(peer, "watch", body).addErrback(self._untold)
 
     def _untold(self, reason) -> None:
         """One that was not reached calls by itself."""
--- a/lotusroute/leases/asker.py
+++ b/lotusroute/leases/asker.py
@@ -73,10 +73,10 @@
         if stalled:
             # Whoever stood still for so long serves no fleet: the task is better off elsewhere.
             for task in self.claims:
-                self._set(task, self._let_go(task, now, "stalled", self.terms.lease))
+                self._let_go(task, now, "stalled", self.terms.lease)
         if isinstance(event, Want):
             if event.task in self.claims or len(self.claims) < TASKS:
-                self._set(event.task, self.claims.get(event.task, Claim())._replace(wants=True))
+                self.claims[event.task] = self.claims.get(event.task, Claim())._replace(wants=True)
                 self._look(event.task, now)
         elif isinstance(event, Leave):
             if event.task in self.claims:
@@ -90,7 +90,7 @@
             if claim is not None and claim.step == IDLE and not claim.holds(now):
                 # Drawn, for others were told too: who asks first has it.
                 soon = now + self.chance.uniform(0.0, PAUSE[0])
-                self._set(event.task, claim._replace(at=min(claim.at, soon)))
+                self.claims[event.task] = claim._replace(at=min(claim.at, soon))
         else:
             for task in list(self.claims):
                 self._look(task, now)
@@ -123,9 +123,6 @@
 
     # The steps
 
-    def _set(self, task: str, claim: Claim) -> None:
-        self.claims[task] = claim
-
     def _say(self, words: Prepare | Propose | Release) -> None:
         self.out += [Ask(keeper, words) for keeper in self.terms.keepers]
 
@@ -156,7 +153,7 @@
         elif claim.step == IDLE and claim.wants and now >= claim.at:
             number = claim.seen + 1
             claim = self._begin(task, claim._replace(number=number, seen=number), PREPARE, now)
-        self._set(task, claim)
+        self.claims[task] = claim
 
     def _told(self, keeper: str, reply: Reply, now: float) -> None:
         task, terms = reply.task, self.terms
@@ -165,7 +162,7 @@
         if claim.step == IDLE or (reply.number, reply.step, reply.round) != (
             claim.number, claim.step, claim.round
         ):
-            self._set(task, claim)
+            self.claims[task] = claim
             return
         if reply.yes:
             claim = claim._replace(yes=claim.yes | {keeper}, wanted=claim.wanted or reply.wanted)
@@ -175,7 +172,7 @@
             claim = self._agreed(task, claim, now)
         elif len(claim.no) > len(terms.keepers) - terms.majority:
             claim = self._give_up(task, claim, now, reply.left if reply.why == HELD else 0.0)
-        self._set(task, claim)
+        self.claims[task] = claim
 
     def _agreed(self, task: str, claim: Claim, now: float) -> Claim:
         terms = self.terms
@@ -189,7 +186,7 @@
         if not held:
             self.out.append(Held(task, claim.number))
         elif claim.wanted and now - claim.since >= terms.term:
-            self._set(task, claim)
+            self.claims[task] = claim
             claim = self._let_go(task, now, "term over", terms.lease)
         return claim
 
@@ -208,5 +205,5 @@
         if claim.until > -math.inf or claim.step == PROPOSE:
             self._say(Release(task, claim.number, self.name, claim.round))
         claim = claim._replace(step=IDLE, until=-math.inf, at=max(claim.at, now + rest))
-        self._set(task, claim)
+        self.claims[task] = claim
         return claim
--- a/lotusroute/rig/hunt.py
+++ b/lotusroute/rig/hunt.py
@@ -29,6 +29,11 @@
     hand_overs: int
     recovered: float  # s from the end of the last fault until somebody held; -1 where nobody did
 
+    @property
+    def bad(self) -> bool:
+        """Whether something was breached, or nobody held in the end."""
+        return bool(self.breaches) or self.recovered < 0
+
 
 def scenario(seed: int, processes: int = 3, keepers: int = 3) -> Outcome:
     """Play one drawn scenario."""
