A silent watch is opened anew before the shortest grace of a drain is over

At fault: net/discovery.py, HOLD 4 s and PATIENCE 3 s, written for a grace of 2 s, and a body with 3 s of its own; the grace in the settings was read nowhere.

Change: the grace comes from rules.stop_sending_within. A call has one time for answer and body; wait, patience, pause and a call that stands in line fit into 6 s and the grace. Where lists are pushed the agent answers at once, so silence is noticed after half a grace, and what is asked next does not wait. A stall of ours extends that time. The first flows of a new process wait for discovery's first word, 1 s at most: a remembered list may be old, and the agent's counts as told from our first moment. The trace of an answer is written before the answer: a test that read it after the client had its line failed on busy cores.

--- a/lotusroute/__main__.py
+++ b/lotusroute/__main__.py
@@ -31,6 +31,7 @@
 from lotusroute.vip import Malformed
 
 COLLECT = 5_000, 20, 20  # objects, and younger looks, between looks for garbage: every few hundred flows
+OPENING = 1.0  # s that the door waits at most for the first word of discovery
 BACKLOG = 1024  # connections that may wait to be accepted when all clients of a peer come at once
 
 
@@ -51,13 +52,18 @@
     owner = Owner(posting, counts)
     owner.put(remembered)
     clients = Clients(owner.put, owner.clock, owner.ready, posting.sockets, counts)
+    door = Door(posting.listen[1], clients, BACKLOG, posting.listen[0], reactor)
     try:
-        Door(posting.listen[1], clients, BACKLOG, posting.listen[0], reactor).startListening()
+        door.startListening()
     except error.CannotListenError as fault:
         print(f"lotusroute: LB_LISTEN: {fault}", file=sys.stderr)
         return 2
+    # What discovery has counts as told from our first moment on, and the remembered list may be an old one:
+    # first flows went to servers that had drained long ago. They wait for its first word.
+    door.stopReading()
+    reactor.callLater(OPENING, door.startReading)
     standing = Standing(posting, owner, clients, counts)
-    reactor.callWhenRunning(standing.follow)
+    reactor.callWhenRunning(standing.follow, door.startReading)
     try:
         fleet = _fleet(posting, counts, standing)
     except Malformed as fault:
@@ -69,6 +75,7 @@
             reactor.stop()
 
     def stop() -> None:
+        door.startReading()
         if fleet is not None:
             fleet.stop()
         owner.stop(finish)
@@ -122,16 +129,20 @@
         self.discovery: Discovery | None = None
         self.watch = None  # where balancers share what discovery tells
 
-    def follow(self) -> None:
+    def follow(self, heard=None) -> None:
         """Follow discovery at the address last told: at the start from the list that is remembered, else from
-        the beginning, for another address may count its versions in its own way."""
+        the beginning, for another address may count its versions in its own way. `heard` is called once,
+        after the first call, whatever it brought."""
         seq = None
         if self.discovery is None:
             seq = _remembered_seq(self.posting)
         else:
             self.discovery.close()
-        where, seed = self.posting.discovery, self.posting.seed
-        self.discovery = Discovery(where, seq, seed, self.owner.put, self.counts)
+        told = self.posting
+        self.discovery = Discovery(
+            told.discovery, seq, told.seed, self.owner.put, self.counts, told.grace, told.pushed
+        )
+        self.discovery.heard = heard
         if self.watch is not None:
             self.discovery.watch, self.watch.discovery = self.watch, self.discovery
         defer.ensureDeferred(self.discovery.follow())
--- a/lotusroute/net/discovery.py
+++ b/lotusroute/net/discovery.py
@@ -2,8 +2,8 @@
 
 Owns the calls to discovery at one address: one watch after the other, without a gap, from the version that is
 held, the whole list where none is, and the back-off when discovery fails, refuses or is silent. It must never
-decide what a list means for a flow, hold the start up, act on an answer that is not a list, ask for more than
-it lacks, or tell anything once it is closed.
+decide what a list means for a flow, act on an answer that is not a list, ask for more than it lacks, or tell
+anything once it is closed.
 """
 
 import contextlib
@@ -21,12 +21,19 @@
 from lotusroute.vip import Malformed, number, one_of
 
 STATES = {"SERVING": i.READY, "DRAINING": i.DRAINING, "DELETED": i.GONE}
-HOLD = 4_000  # ms that a watch waits: so long a call may hang unnoticed when the agent falls silent
-PATIENCE = 3.0  # s beyond the wait for an answer: calls of many stand in line for 2 s before they fail
+# A watch that falls silent as it opens is noticed at the end of its call alone, and what it missed
+# counts as told LATEST after that: wait, patience, pause and the next call, which stands in line again,
+# have to fit into it and the grace of a drain, also a short one. A wait of 4 s and a patience of 3 s broke
+# the rule where the grace is 500 ms.
+LATEST = 6.0  # s after which, by the protocol, what a silent watch missed counts as told
+HOLD = 2_000  # ms that a watch waits at most
+LINE = 2.0  # s that calls of many stand in line, where lists have to be asked for, before they fail
+PATIENCE = LINE + 0.3  # s beyond the wait for a whole answer
+QUICK = 0.1, 1.0  # s, least and most of it where an agent of our own machine has the list and answers at once
+STALL = 0.05  # s by which a time-out comes late when we were held up, and say nothing of discovery
 FAILED = 0.1, 2.0  # s, first and longest pause after a failed call: the first within the 200 ms of a watch
-# s, the same after a refusal: it costs discovery too, and 40 every second kept it busy. News count as told
-# after 6 s, and 2 s later nothing may be sent by the old list: a pause and an answer's 2 s fit in between.
-REFUSED = 3.0, 6.0
+AT_HAND = 0.5  # s, the longest where an agent has the list: it costs nothing to ask
+SLACK = 0.15  # s for a busy core and the way of an answer
 SPREAD = 0.2  # share of a pause that is waited at least; the rest is drawn, that 40 refused come one by one
 CALL, ANSWER, REFUSAL, BODY = "no answer", "an answer in part", "a refusal", "an answer that is no list"
 REFUSALS = 429, 502, 503, 504  # statuses that say nothing of the version asked from
@@ -81,12 +88,31 @@
 class Discovery:
     """Follows the server list and puts what it learns into the owner's queue."""
 
-    def __init__(self, where: tuple[str, int], seq: int | None, seed: int, put: Callable, counts) -> None:
+    def __init__(
+        self, where: tuple[str, int], seq: int | None, seed: int, put: Callable, counts,
+        grace: float = 2_000.0, pushed: bool = False,
+    ) -> None:  # fmt: skip
+        """`grace`: ms after news of a drain until nothing may be sent; `pushed`: an agent has the list."""
         self.base = f"http://{where[0]}:{where[1]}/api/targets"
         self.put, self.counts = put, counts
         self.chance = random.Random(seed)
+        self.patience, self.longest = PATIENCE, FAILED[1]
+        if pushed:
+            # What the agent gets while we do not hear it counts as told at once: half of the grace to notice
+            # that it is silent, a quarter for the pause.
+            self.patience = min(max(QUICK[0], grace / 2000), QUICK[1])
+            self.longest = min(AT_HAND, max(FAILED[0], grace / 4000))
+        bound = LATEST + grace / 1000 - LINE  # s in which a call that stands in line has to be sent
+        spare = bound - self.patience - FAILED[0] - SLACK
+        self.hold = HOLD if pushed else int(min(HOLD, 1000 * spare))
+        # A refusal costs discovery too, and 40 every second kept it busy. One pause and an answer's line fit
+        # between the news and the last moment at which the old list may be followed.
+        self.refused = (self.longest, self.longest) if pushed else (bound / 2, bound)
         self.pool = HTTPConnectionPool(reactor)
         self.agent = Agent(reactor, connectTimeout=PATIENCE, pool=self.pool)
+        self.alarm = None  # when the call in hand is given up
+        self.silent = True  # the last call brought no answer, or there was none: the next does not wait
+        self.heard = None  # called once, after the first call, whatever it brought
         self.seq = seq  # of the list that is held; None: the whole list is needed
         self.waiting: defer.Deferred | None = None  # the call or the pause in hand
         self.watch = None  # who else calls, where balancers share what they hear; asked before each call
@@ -110,6 +136,7 @@
                 if self.closed:
                     return
             news = await self._call()
+            self.silent = isinstance(news, Failed) and news.reached in (CALL, ANSWER)
             if self.closed:
                 # What the old address still told is not put behind news from the new one.
                 return
@@ -117,29 +144,43 @@
                 pause = 0.0
                 if news.servers or news.scope == i.WHOLE:
                     self.put(news)
+                self._first_over()
                 continue
+            self._first_over()
             self.counts["discovery_failed"] += 1
             if self.watch is not None:
                 self.watch.failed()
             if not pause:
                 say("discovery failed", reached=news.reached, why=news.why)
-            first, longest = REFUSED if news.reached == REFUSAL else FAILED
+            first, longest = self.refused if news.reached == REFUSAL else (FAILED[0], self.longest)
             pause = min(max(first, 2 * pause), longest)
             self.waiting = task.deferLater(reactor, pause * self.chance.uniform(SPREAD, 1.0))
             with contextlib.suppress(defer.CancelledError):
                 await self.waiting
 
+    def _first_over(self) -> None:
+        heard, self.heard = self.heard, None
+        if heard is not None:
+            heard()
+
     async def _call(self) -> Listed | Failed:
         """Ask once; whatever goes wrong comes back as a value."""
-        url, wait = self.base, PATIENCE
+        url, wait = self.base, self.patience
         if self.seq is not None:
-            url, wait = f"{url}?from={self.seq}&hold_ms={HOLD}", PATIENCE + HOLD / 1000
+            # After silence what was missed is asked for at once: a call that waits tells nothing of whether
+            # discovery is back, and what it has got meanwhile counts as told.
+            hold = 0 if self.silent else self.hold
+            url, wait = f"{url}?from={self.seq}&hold_ms={hold}", wait + hold / 1000
         reached = CALL
         self.counts["discovery_calls"] += 1
+        self._time(wait)
         try:
-            answer = await self._within(self.agent.request(b"GET", url.encode()), wait)
+            self.waiting = self.agent.request(b"GET", url.encode())
+            answer = await self.waiting
             reached = ANSWER
-            body = await self._within(readBody(answer), PATIENCE)
+            # The same time runs on: half an answer is no better than none.
+            self.waiting = readBody(answer)
+            body = await self.waiting
             reached = BODY
             if answer.code in REFUSALS:
                 # Forty that were refused a watch asked for all lines instead, and none got a list all day.
@@ -156,6 +197,21 @@
             return Failed(reached, f"{type(fault).__name__}: {fault}")
         except Exception as fault:  # the HTTP client has dozens, and none may stop the following
             return Failed(reached, f"{type(fault).__name__}: {fault}"[:200])
+        finally:
+            if self.alarm.active():
+                self.alarm.cancel()
+
+    def _time(self, seconds: float, longest: float | None = None) -> None:
+        """Give the call in hand up after so long, and after a stall of ours once more, up to PATIENCE."""
+        due, left = reactor.seconds() + seconds, PATIENCE if longest is None else longest
+
+        def over() -> None:
+            if reactor.seconds() > due + STALL and left > 0:
+                self._time(min(self.patience, left), left - self.patience)
+            else:
+                self.waiting.cancel()
+
+        self.alarm = reactor.callLater(seconds, over)
 
     def _checked(self, told: dict) -> Listed:
         """Decode what was told and take its version; raises where it is no list or does not follow ours."""
@@ -180,7 +236,3 @@
         if news.servers or news.scope == i.WHOLE:
             self.put(news)
         return True
-
-    def _within(self, deferred: defer.Deferred, seconds: float) -> defer.Deferred:
-        self.waiting = deferred.addTimeout(seconds, reactor)
-        return deferred
--- a/lotusroute/net/owner.py
+++ b/lotusroute/net/owner.py
@@ -454,8 +454,8 @@
     def _answer(self, held: _Held, words: bytes) -> None:
         self._drop(held)
         self._hang_up(held)
-        held.client.answer(words)
         self._trace("answered", held, words=words.decode())
+        held.client.answer(words)
 
     @staticmethod
     def _trace(event: str, held: _Held, **fields: object) -> None:
--- a/lotusroute/net/startup.py
+++ b/lotusroute/net/startup.py
@@ -17,6 +17,7 @@
 SOCKETS = 1024.0  # descriptors, where no limit is told: what a process usually may hold
 MEMORY = 1024.0  # MB, where no limit is told: more than all descriptors can fill
 COME_UP = 250.0  # ms for a connection to come up, where none is told: a far site and one lost packet
+GRACE = 500.0  # ms after news of a drain in which a server may be sent to, where none is told: the least met
 LONGEST = 3_000.0  # ms, the connect timeout of a service type for which none is told
 LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 APPLIED = {"discovery", "sockets", "memory_mb"}  # what a running balancer takes over; else it must restart
@@ -37,6 +38,8 @@
     vip: Vip
     come_up: float  # ms for a connection to a server to come up
     longest: float  # connect timeout of the most patient service type
+    grace: float  # ms after news of a drain until nothing may be sent to the server any more
+    pushed: bool  # an agent of this machine has the server list
     log_level: str
 
 
@@ -105,9 +108,9 @@
         except Malformed as fault:
             raise Malformed(f"{key}: {fault}") from None
 
-    def figure(key: str, value: object, default: float) -> float:
+    def figure(key: str, value: object, default: float, none: bool = False) -> float:
         value = default if value is None else checked(key, number, str(value))
-        if value <= 0:
+        if value < 0 or not (value or none):
             raise Malformed(f"{key}: {value:g} is not above 0")
         return value
 
@@ -141,6 +144,9 @@
         come_up=figure("settings.limits.connect_timeout", env.get("limits.connect_timeout"),
                        COME_UP),
         longest=max(figure(f"settings.{path}", env.get(path), LONGEST) for path in deadlines),
+        grace=figure("settings.rules.stop_sending_within", env.get("rules.stop_sending_within"),
+                     GRACE, none=True),
+        pushed=env.get("discovery") == "push",
         log_level=level,
     )  # fmt: skip
 
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -126,7 +126,9 @@
 
 class FakeList(http.server.BaseHTTPRequestHandler):
     """Discovery, as far as its server's `entries` and `seq` go; silent while `seq` is 0. It keeps what was
-    `asked` for and when, turns as many calls away as `refuses` says, and takes `slow` s for the others."""
+    `asked` for and when, turns as many calls away as `refuses` says, and takes `slow` s for the others. Calls
+    in hand when `cut` grows are never answered, but for half an answer where it is `half`; nor are those that
+    come while it is `down`."""
 
     protocol_version = "HTTP/1.1"
 
@@ -142,9 +144,16 @@
             self.end_headers()
             return
         time.sleep(fleet.slow)
-        while not fleet.seq or (fleet.seq <= int(asked.get("from", -1)) and time.monotonic() < until):
+        mine, since = fleet.cut, int(asked.get("from", -1))
+        while (mine != fleet.cut or fleet.down or not fleet.seq
+               or (fleet.seq <= since and time.monotonic() < until)):  # fmt: skip
+            if mine != fleet.cut or fleet.down:
+                if fleet.half:
+                    self.wfile.write(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\n{")
+                self.rfile.read(1)  # until the other end closes
+                return
             time.sleep(0.01)
-        hosts = fleet.entries if fleet.seq > int(asked.get("from", -1)) else []
+        hosts = fleet.entries if fleet.seq > since else []
         body = json.dumps({"seq": fleet.seq, "whole": "from" not in asked, "hosts": hosts}).encode()
         with contextlib.suppress(OSError):
             self.send_response(200)
@@ -162,6 +171,7 @@
     fleet.daemon_threads = True
     fleet.entries, fleet.seq = [s.entry() for s in servers], int(listed)
     fleet.asked, fleet.refuses, fleet.slow = [], 0, 0.0
+    fleet.cut, fleet.down, fleet.half = 0, False, False
     threading.Thread(target=fleet.serve_forever, daemon=True).start()
     return fleet
 
@@ -228,7 +238,7 @@
 def soon(true):
     """Wait until something is so."""
     until = time.monotonic() + DEADLINE
-    while not true():
+    while not (found := true()):
         assert time.monotonic() < until, "never so"
         time.sleep(0.01)
-    return True
+    return found
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,5 +1,6 @@
 """Stories of the balancer on loopback sockets: one for each failure met or to be kept out."""
 
+import contextlib
 import json
 import pathlib
 import random
@@ -160,6 +161,63 @@
         assert named in balancer.end()
 
 
+PUSHED = {**SETTINGS, "discovery": "push", "rules": {"stop_sending_within": 500}}
+
+
+def watching(balancer):
+    """Wait until a watch has just been opened; returns when."""
+    calls = len(balancer.list.asked)
+    soon(lambda: len(balancer.list.asked) > calls + 1)
+    return balancer.list.asked[-1][0]
+
+
+@pytest.mark.parametrize("settings", [
+    PUSHED, {**PUSHED, "discovery": "ask"}, {**SETTINGS, "rules": {"stop_sending_within": 100}},
+])  # fmt: skip
+@pytest.mark.parametrize("half", [False, True])
+def test_a_watch_that_falls_silent_as_it_opens_is_opened_anew_before_a_short_grace_is_over(settings, half):
+    # calm+brink at the other customer: given up after 7.0 s, told after 6 and 0.5 s of grace.
+    one, two = FakeServer("s1", b"UP one\r\n"), FakeServer("s2", b"UP two\r\n")
+    with Balancer(one, two, settings=settings, half=half) as balancer:
+        opened = watching(balancer)
+        balancer.list.cut += 1
+        balancer.list.entries, balancer.list.seq = [one.entry("DRAINING"), two.entry()], 2
+        soon(lambda: balancer.list.asked[-1][0] > opened)
+        # A call may stand in line for 2 s more.
+        bound = 6.0 + settings["rules"]["stop_sending_within"] / 1000 - 2.0
+        assert balancer.list.asked[-1][0] - opened < bound
+        assert {balancer.ask(str(at)).readline() for at in range(9)} == {b"UP two\r\n"}
+
+
+def test_what_an_agent_learns_at_its_return_is_heard_within_a_short_grace():
+    one, two = FakeServer("s1", b"UP one\r\n"), FakeServer("s2", b"UP two\r\n")
+    with Balancer(one, two, settings=PUSHED) as balancer:
+        watching(balancer)
+        balancer.list.down = True
+        calls = len(balancer.list.asked)
+        soon(lambda: len(balancer.list.asked) > calls + 5)  # long enough for all pauses to have grown
+        balancer.list.entries, balancer.list.seq = [one.entry("DRAINING"), two.entry()], 2
+        back, balancer.list.down = time.monotonic(), False
+        soon(lambda: balancer.list.asked[-1][0] > back)
+        assert balancer.list.asked[-1][0] - back < 0.5
+        assert {balancer.ask(str(at)).readline() for at in range(9)} == {b"UP two\r\n"}
+
+
+def test_the_first_flows_of_a_new_process_wait_for_the_first_word_of_discovery():
+    # What its agent has counts as told from its first moment on, and the remembered list is an old one.
+    one, two = FakeServer("s1", b"UP one\r\n"), FakeServer("s2", b"UP two\r\n")
+    starting = Balancer(one, two, settings=PUSHED, slow=0.2)
+    starting.list.entries, starting.list.seq = [one.entry("DRAINING"), two.entry()], 2
+
+    def connects():
+        with contextlib.suppress(OSError):
+            return starting.ask("a")
+
+    clients = [soon(connects)] + [starting.ask(str(at)) for at in range(9)]
+    with starting:
+        assert {client.readline() for client in clients} == {b"UP two\r\n"} and not one.lines
+
+
 def test_clients_of_two_servers_that_drain_at_once_are_all_moved_in_time():
     servers = [FakeServer(f"s{at}", f"UP s{at}\r\n".encode()) for at in range(3)]
     with Balancer(*servers) as balancer:
