What is owed when something ends is settled in one place: clients that leave, drains, stops

Now the client's socket is looked into as the connection is up (held.wanted), and one that says over 16 KiB before its answer is refused with ERR. - A client that broke off in the turn of its receipt: `event failed` on a closed transport (owner._answered). - A connect that came up after the drain's grace wrote its line (owner._listed looked at no link that had written nothing); held up, also one that came up before the news was read. - At the stop BUSY for a referenced flow of a cell that may have run (owner._cut saw the connect in flight alone), ERR for one whose receipt stood in the queue, a reset for those who came while we were held up. - A repeat whose connection came up after its window was sent. - An UP without a receipt reached the client as served (servers._first). - A whole first line in the socket was closed unanswered by the first-line time-out; a MOVE not yet written was lost to an eviction. - One spoilt entry threw the list away and had the whole list asked for without end (discovery.listed). - An action that raised took the others with it; an event that raised before its flow had a number left its client unanswered. - A class without an effect counted as repeatable, an unknown group as `all`.

--- a/lotusroute/__main__.py
+++ b/lotusroute/__main__.py
@@ -58,6 +58,7 @@
     except error.CannotListenError as fault:
         print(f"lotusroute: LB_LISTEN: {fault}", file=sys.stderr)
         return 2
+    owner.owing = lambda: clients.sweep(door)
     # What discovery has counts as told from our first moment on, and the remembered list may be an old one:
     # first flows went to servers that had drained long ago. They wait for its first word.
     door.stopReading()
@@ -142,7 +143,7 @@
         self.discovery = Discovery(
             told.discovery, seq, told.seed, self.owner.put, self.counts, told.grace, told.pushed
         )
-        self.discovery.heard = heard
+        self.discovery.heard, self.owner.relist = heard, self.discovery.forget
         if self.watch is not None:
             self.discovery.watch, self.watch.discovery = self.watch, self.discovery
         defer.ensureDeferred(self.discovery.follow())
--- a/lotusroute/choice.py
+++ b/lotusroute/choice.py
@@ -383,7 +383,7 @@
         if kind.kind != i.REFERENCED:
             return kind.kind != i.ONCE_ONLY
         same = {"zone": host.zone == held.ran.zone, "cell": host.cell == held.ran.cell}
-        return self.now < held.ran_at + kind.window and same.get(kind.group, True)
+        return self.now < held.ran_at + kind.window and same.get(kind.group, kind.group == "all")
 
     def _connect(self, held: _Held) -> None:
         flow, host = held.flow, None
@@ -408,7 +408,7 @@
 
     def _give_up(self, held: _Held) -> None:
         kind = self.vip.service_types[held.flow.service_type]
-        if held.ran is None or kind.kind == i.REPEATABLE or (kind.kind, kind.group) == (i.REFERENCED, "all"):
+        if kind.harmless(held.ran is not None):
             self.out.append(i.Reject(held.flow.id, min(self.vip.max_retry_after, ADVICE)))
         else:
             self.out.append(i.Abort(held.flow.id))
--- a/lotusroute/interface.py
+++ b/lotusroute/interface.py
@@ -23,6 +23,10 @@
     group: str = "all"  # who drops the repeats of a referenced flow: "all", "zone" or "cell"
     window: float = 0.0  # and for how long they remember it
 
+    def harmless(self, ran: bool) -> bool:
+        """Whether a client may be told that to come again is harmless, where the flow may have `ran`."""
+        return not ran or self.kind == REPEATABLE or (self.kind, self.group) == (REFERENCED, "all")
+
 
 class Vip(NamedTuple):
     """The virtual ip that a director serves: all that is known of it at the start."""
--- a/lotusroute/net/clients.py
+++ b/lotusroute/net/clients.py
@@ -14,7 +14,7 @@
 from twisted.internet.protocol import ServerFactory
 from twisted.python.failure import Failure
 
-from lotusroute.net.lines import BUSY, END, ERR, MOVE, PING, PONG, SliceReceiver
+from lotusroute.net.lines import BUSY, END, ERR, LINE, MOVE, PING, PONG, SliceReceiver
 from lotusroute.vip import Malformed
 
 FIRST_LINE = 2.0  # s from connecting to a whole first line, however it trickles; a close is owed within 3
@@ -100,12 +100,13 @@
     """One connection from a client or the front."""
 
     factory: "Clients"
+    HELD = 4 * LINE  # of one that should wait for its answer; what stands in its way hides that it leaves
 
     def __init__(self) -> None:
         self.number = 0  # of its flow; 0 while there is none
         self.link = None  # the connection of its server, once the flow stands
         self.answered = self.gone = False
-        self.checks = self.dropped = 0
+        self.checks = self.dropped = self.reads = 0
 
     def connectionMade(self) -> None:
         super().connectionMade()
@@ -114,6 +115,7 @@
         self.factory.take_in(self)
 
     def dataReceived(self, data: bytes) -> None:
+        self.reads += 1
         if self.link is None and self.answered:
             # Nobody is left to read this; kept, it grew to 60 MB, copied with each read.
             self.dropped += len(data)
@@ -152,6 +154,42 @@
         self.factory.counts["malformed_lines"] += 1
         self.answer(ERR)
 
+    def overrun(self) -> None:
+        """A client that does not wait for its answer, as the protocol has it, is refused: read no further,
+        its leaving was not seen and its flow was sent on; read on, it would fill our memory."""
+        if self.answered:
+            super().overrun()
+            return
+        self.factory.counts["overran"] += 1
+        self.gone = True  # to the owner, who may not have taken it yet
+        self.refuse()
+        self._tell_left()
+
+    def look(self) -> bool:
+        """Read what the socket holds now, as far as it may be held; whether the client may still be there."""
+        reads = -1
+        while self.transport.connected and not self.ended and not self.answered and reads != self.reads:
+            reads = self.reads
+            if self.transport.doRead() is not None:
+                return False  # the reactor finds that out by itself in its next turn
+        return not (self.ended or self.gone)
+
+    def left(self) -> bool:
+        """Whether the client of a flow that waits has left. It is looked for in the socket: an end that came
+        while we were held up, or beside the event that is handled, has not been read yet."""
+        if self.look():
+            return False
+        self._tell_left()
+        return True
+
+    def _tell_left(self) -> None:
+        if self.number:
+            self.factory.put(Left(self.number))
+
+    def owed(self) -> bool:
+        """Whether it has begun to ask and has no answer, or has not been written its last words."""
+        return self.unwritten() or not self.answered and bool(self._buffer)
+
     def lineLengthExceeded(self, line: bytes) -> None:
         if self.link is not None:
             self.factory.counts["malformed_lines"] += 1
@@ -201,10 +239,14 @@
         elif not self.number:
             self.gone = True
             self.transport.loseConnection()
-        if self.number:
-            self.factory.put(Left(self.number))
+        self._tell_left()
 
     def timeoutConnection(self) -> None:
+        if not self.answered:
+            # Its line may lie in the socket: it was we who were held up.
+            self.look()
+            if self not in self.factory.idle:
+                return
         self.factory.counts["said_nothing"] += not self.answered
         if self.answered:
             super().timeoutConnection()
@@ -215,10 +257,13 @@
         """Make room at once, not a turn later: until then a flood takes the descriptors that others need."""
         if not self.answered:
             # Its line may have come and not been read yet.
-            self.transport.doRead()
+            self.look()
             if self not in self.factory.idle:
                 return
             self.transport.writeSomeData(BUSY + END)
+        elif self.unwritten():
+            # Its last words, a MOVE perhaps, are still owed; it lingers for a second at most.
+            return
         self.factory.counts["ended_early"] += 1
         self.transport.connectionLost(Failure(error.ConnectionDone()))
 
@@ -228,8 +273,7 @@
         self.factory.idle.pop(self, None)
         if self.link is not None and not self.ended:
             self.link.client_lost()
-        if self.number:
-            self.factory.put(Left(self.number))
+        self._tell_left()
 
 
 class Clients(ServerFactory):
@@ -254,13 +298,31 @@
         hundreds that connected and said nothing had the usual clients turned away."""
         self.sides.add(side)
         self.idle[side] = None
-        while self._taken() > self.most and len(self.idle) > 1:
-            next(iter(self.idle)).end_early()
+        if self._taken() > self.most:
+            for oldest in [other for other in self.idle if other is not side]:
+                oldest.end_early()
+                if self._taken() <= self.most:
+                    break
         if self._taken() > self.most:
             # Accepting until no descriptor is left would lose flows unanswered.
             self.counts["turned_away"] += 1
             side.answer(BUSY)
 
+    def owing(self) -> bool:
+        """Whether a connection has begun to ask and has no answer, or has not been written its last words."""
+        return any(side.owed() for side in self.sides)
+
+    def sweep(self, door: "Door") -> bool:
+        """Take in who waits at the door, and read what lies in the sockets of those without a flow, before
+        all is closed; whether one of them is still owed something."""
+        taken = -1
+        while taken != self.counts["connections"]:
+            taken = self.counts["connections"]
+            door.doRead()
+        for side in list(self.idle):
+            side.look()
+        return self.owing()
+
     def let_go(self, side: ClientSide) -> None:
         """A connection has its last line and only lingers."""
         if side in self.sides:
--- a/lotusroute/net/discovery.py
+++ b/lotusroute/net/discovery.py
@@ -8,7 +8,9 @@
 
 import contextlib
 import json
+import logging
 import random
+from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -36,6 +38,7 @@
 SLACK = 0.15  # s for a busy core and the way of an answer
 SPREAD = 0.2  # share of a pause that is waited at least; the rest is drawn, that 40 refused come one by one
 CALL, ANSWER, REFUSAL, BODY = "no answer", "an answer in part", "a refusal", "an answer that is no list"
+UNREADABLE = KeyError, TypeError, ValueError, AttributeError, Malformed  # what a spoilt answer raises
 REFUSALS = 429, 502, 503, 504  # statuses that say nothing of the version asked from
 
 
@@ -54,26 +57,46 @@
     why: str
 
 
-def listed(told: dict, scope: str) -> Listed:
-    """Decode a list in discovery's form. Its clock is Unix time in ms, and so is the owner's.
+def listed(told: dict, scope: str, counts: Counter | None = None) -> Listed:
+    """Decode a list in discovery's form. Its clock is Unix time in ms, and so is the owner's. Entries that
+    cannot be read are counted and named, the others used: one spoilt server had all drains go unheard. Raises
+    Malformed where there are entries and none can be read.
 
-    >>> told = {"hosts": [{"host": "s-1", "dial": "10.1.0.18:9000", "health": "SERVING", "born_ms": 0}]}
+    >>> told = {"hosts": [{"host": "s-1", "dial": "10.1.0.18:9000", "health": "SERVING", "born_ms": 0}, 7]}
     >>> listed(told, i.WHOLE).dials
     {'s-1': ('10.1.0.18', 9000)}
     """
-    servers, dials = [], {}
+    servers, dials, unread = [], {}, []
     for entry in told["hosts"]:
-        state = one_of(STATES, entry["health"], "health")
-        server = str(entry["host"])
-        if state != i.GONE:
-            dials[server] = address(entry["dial"])
-        servers.append(i.Server(
-            server, str(entry.get("site", "")), int(entry.get("block") or 0), state,
-            number(str(entry.get("share", 1.0))), number(str(entry.get("born_ms") or 0)),
-        ))  # fmt: skip
+        try:
+            server, dial = _entry(entry)
+        except (*UNREADABLE, OverflowError) as fault:
+            unread.append(f"{type(fault).__name__}: {fault} in {entry!r}"[:200])
+            continue
+        servers.append(server)
+        if dial is not None:
+            dials[server.id] = dial
+    if unread:
+        if counts is not None:
+            counts["entries_unread"] += len(unread)
+        say("list entries unread", logging.WARNING, entries=len(unread), first=unread[0])
+        if not servers:
+            raise Malformed(unread[0])
     return Listed(scope, tuple(servers), dials)
 
 
+def _entry(entry: dict) -> tuple[i.Server, tuple[str, int] | None]:
+    """Decode one entry; where it is dialled is None for a server that is gone."""
+    state, server = one_of(STATES, entry["health"], "health"), entry["host"]
+    if not (isinstance(server, str) and server):
+        raise Malformed(f"host: {server!r} is no name")
+    dial = None if state == i.GONE else address(entry["dial"])
+    return i.Server(
+        server, str(entry.get("site", "")), int(entry.get("block") or 0), state,
+        number(str(entry.get("share", 1.0))), number(str(entry.get("born_ms") or 0)),
+    ), dial  # fmt: skip
+
+
 def version(seq: object) -> int:
     """Check a list's version.
 
@@ -127,6 +150,10 @@
             self.watch.wake()
         self.pool.closeCachedConnections()
 
+    def forget(self) -> None:
+        """Ask for the whole list the next time: what was told was not taken."""
+        self.seq = None
+
     async def follow(self) -> None:
         """Go on until closed, or for as long as the balancer runs."""
         pause = 0.0
@@ -192,7 +219,7 @@
             if self.watch is not None:
                 self.watch.answered(told, since)
             return news
-        except (KeyError, TypeError, ValueError, AttributeError, Malformed) as fault:
+        except UNREADABLE as fault:
             self.seq = None
             return Failed(reached, f"{type(fault).__name__}: {fault}")
         except Exception as fault:  # the HTTP client has dozens, and none may stop the following
@@ -215,7 +242,7 @@
 
     def _checked(self, told: dict) -> Listed:
         """Decode what was told and take its version; raises where it is no list or does not follow ours."""
-        news = listed(told, i.WHOLE if told["whole"] else i.CHANGES)
+        news = listed(told, i.WHOLE if told["whole"] else i.CHANGES, self.counts)
         seq = version(told["seq"])
         if news.scope == i.CHANGES and (self.seq is None or seq < self.seq):
             raise Malformed(f"changes up to {seq} of a list held at {self.seq}")
@@ -231,7 +258,7 @@
             ):
                 return False
             news = self._checked(told)
-        except (KeyError, TypeError, ValueError, AttributeError, Malformed):
+        except UNREADABLE:
             return False
         if news.servers or news.scope == i.WHOLE:
             self.put(news)
--- a/lotusroute/net/lines.py
+++ b/lotusroute/net/lines.py
@@ -14,7 +14,6 @@
 from lotusroute.net.log import fault
 
 LINE = 4096  # bytes of a line with its ending, by the protocol
-HELD = LINE  # bytes that come while lines are held; more, and reading stops until they are let go
 SIP = 8_192  # bytes read at once, and that may wait to be written: 64 KiB each way made a full house 90 MB
 
 PING, PONG, OPEN, UP, BUSY, MOVE, BYE, ERR, LOAD = (
@@ -37,6 +36,7 @@
     """A LineReceiver whose `lineReceived` gets slices, each with its ending, ready to be passed on."""
 
     MAX_LENGTH = LINE
+    HELD = LINE  # bytes that may come while lines are held
     held = False  # lines wait while this is set, though the socket is still read
     ended = False  # the other end has stopped sending
     closing = False  # this end has
@@ -72,16 +72,24 @@
             if at < len(data):
                 self._buffer = data[at:] + self._buffer
         if self.held or self.paused:
-            if len(self._buffer) > HELD:
-                self.transport.pauseProducing()
+            if len(self._buffer) > self.HELD:
+                self.overrun()
         elif len(self._buffer) >= LINE and not self.transport.disconnecting:
             self.lineLengthExceeded(self._buffer)
 
+    def overrun(self) -> None:
+        """More has come than may be held: read on when it is let go."""
+        self.transport.pauseProducing()
+
+    def unwritten(self) -> bool:
+        """Whether something waits to be written, or our end to be told."""
+        return bool(self.transport.dataBuffer or self.transport._tempDataBuffer)
+
     def write(self, data: bytes) -> bytes:
         """Write at once what the socket takes, and return the rest; the transport has nothing waiting. A turn
         of the reactor with two calls to epoll for each small write was a third of the delay of a line."""
         transport = self.transport
-        if not transport.connected or transport.dataBuffer or transport._tempDataBuffer:
+        if not transport.connected or self.unwritten():
             return data
         sent = transport.writeSomeData(data)
         # A broken connection is an exception here; writing the rest has the transport find out by itself.
@@ -116,7 +124,7 @@
 
     def halfClose(self) -> None:
         """Stop sending, once all is written; the rest closes when the other end has stopped too."""
-        if not self.closing and self.transport is not None:
+        if not self.closing and self.transport is not None and self.transport.connected:
             self.closing = True
             self.transport.unregisterProducer()
             self.transport.loseWriteConnection()
--- a/lotusroute/net/owner.py
+++ b/lotusroute/net/owner.py
@@ -1,8 +1,8 @@
 """The one owner of the decisions.
 
-Owns the Director, its clock and timers, and the state of every flow: its connect, its connect timeout,
-whether it is answered. Sockets only put events into its queue; it alone calls `decide` and hands out the
-actions. It must never read or write a socket itself, nor decide where a flow goes.
+Owns the Director, its clock and timers, and what happens to every flow in hand. Sockets only put events into
+its queue; it alone calls `decide` and hands out the actions. It must never read or write a socket
+itself, nor decide where a flow goes.
 """
 
 import logging
@@ -19,6 +19,7 @@
 from lotusroute.choice import Director
 from lotusroute.net.clients import Asked, ClientSide, Left, Opening
 from lotusroute.net.discovery import Listed
+from lotusroute.net.held import Held
 from lotusroute.net.lines import BUSY, ERR
 from lotusroute.net.log import LOG, fault, say
 from lotusroute.net.servers import CONNECTING, REACHES, STANDING, Answered, Fell, Link, Loaded, Timed
@@ -79,19 +80,6 @@
     """It is time to move the next clients whose server, or whose balancer, leaves."""
 
 
-class _Held:
-    """A flow in hand."""
-
-    __slots__ = ("number", "opening", "due", "client", "link", "timer", "up", "left", "tries",
-                 "began", "until")  # fmt: skip
-
-    def __init__(self, number: int, opening: Opening, due: float, client: ClientSide) -> None:
-        self.number, self.opening, self.due, self.client = number, opening, due, client
-        self.link: Link | None = None  # the connect in flight, or the connection; one at a time
-        self.timer = None
-        self.up, self.left, self.tries, self.began, self.until = False, 0.0, 0, 0.0, 0.0
-
-
 class Owner:
     """The task that owns the Director."""
 
@@ -104,7 +92,7 @@
         self.began = self.clock()
         self.queue: deque = deque()  # bounded: newcomers are rejected beyond QUEUE, others are few a flow
         self.running = False
-        self.flows: dict[int, _Held] = {}  # in hand; each leaves with its answer or its connection's end
+        self.flows: dict[int, Held] = {}  # in hand; each leaves with its answer or its connection's end
         self.ids: set[str] = set()  # of the flows in hand and those ended lately; leave with `ended`
         self.ended: deque[tuple[float, str]] = deque()  # ids with their ends; each leaves after REMEMBERED
         self.next = 0
@@ -118,6 +106,8 @@
         self.stopping = 0.0
         self.busy = 0.0  # ms after the order to stop when flows were last in hand
         self.stopped = None  # called when all are gone
+        self.owing = bool  # whether clients without a flow are owed something yet
+        self.relist = None  # asks discovery for the whole list again
         self._later(LOOK, Look())
 
     def clock(self) -> float:
@@ -149,14 +139,22 @@
                 self._on[type(event)](self, event)
             except Exception:
                 # A fault over one event must not take the others with it.
-                self.counts["faults"] += 1
-                fault("event failed", kind=type(event).__name__)
-                self._forget(getattr(event, "number", 0))
-                if isinstance(event, i.Wake | Step):
-                    # Without its next one the upkeep would stand still for good.
-                    self._later(LOOK, event)
+                self._failed(event, getattr(event, "number", 0))
         self.running = False
 
+    def _failed(self, event: object, number: int) -> None:
+        self.counts["faults"] += 1
+        fault("event failed", kind=type(event).__name__)
+        self._forget(number)
+        if isinstance(event, i.Wake | Step):
+            # Without its next one the upkeep, or our end, would stand still for good.
+            self._later(STEP if isinstance(event, Step) else LOOK, event)
+        elif isinstance(event, Asked) and not event.number:
+            event.side.answer(ERR)
+        elif isinstance(event, Listed) and self.relist is not None:
+            # Half of it may have been taken, a drain not: it does not come again by itself.
+            self.relist()
+
     def _forget(self, number: int) -> None:
         """Answer a flow over which something broke, so that it is not lost."""
         held = self.flows.get(number)
@@ -169,7 +167,7 @@
                 held.client.answer(ERR)
             self.put(i.Withdrawn(number))
 
-    def _drop(self, held: _Held) -> None:
+    def _drop(self, held: Held) -> None:
         """A flow is answered, or its connection over. Only those who copied its id use it again."""
         del self.flows[held.number]
         self.ended.append((self.clock(), held.opening.id))
@@ -179,7 +177,11 @@
 
     def _decide(self, event: i.Event) -> None:
         for action in self.director.decide(self.clock(), event):
-            self._do[type(action)](self, action)
+            try:
+                self._do[type(action)](self, action)
+            except Exception:
+                # The others are owed all the same: the decisions count on them.
+                self._failed(action, getattr(action, "id", 0))
 
     # What comes in
 
@@ -197,7 +199,8 @@
             self.next += 1
             self.ids.add(opening.id)
             due = event.at + opening.wait - min(MARGIN, MARGIN_SHARE * opening.wait)
-            held = self.flows[self.next] = _Held(self.next, opening, due, side)
+            kind = self.posting.vip.service_types[opening.service_type]
+            held = self.flows[self.next] = Held(self.next, opening, kind, due, side)
             side.number = held.number
             self._trace("asked", held, c=opening.service_type, g=opening.group, returned=opening.returned,
                         at=opening.at)  # fmt: skip
@@ -214,16 +217,20 @@
         unknown = opening.service_type not in self.posting.vip.service_types
         return unknown or opening.id in self.ids or bool(tenants and tenant and tenant not in tenants)
 
-    def _flow(self, held: _Held) -> i.Flow:
+    def _flow(self, held: Held) -> i.Flow:
         o = held.opening
         return i.Flow(held.number, o.service_type, o.tenant, o.group, o.key, held.due, returned=o.returned)
 
     def _turn_away(self, side: ClientSide, advice: float) -> None:
         self.counts["turned_away"] += 1
-        advice = min(advice, self.posting.vip.max_retry_after)
-        side.answer(b"%b %d" % (BUSY, advice) if advice >= 1 else BUSY)
+        side.answer(self._busy(advice))
+
+    def _busy(self, advice: float) -> bytes:
+        """A refusal, with the ms after which to come again where that may be said."""
+        advice = round(min(advice, self.posting.vip.max_retry_after))
+        return b"%b %d" % (BUSY, advice) if advice > 0 else BUSY
 
-    def _stand(self, held: _Held) -> None:
+    def _stand(self, held: Held) -> None:
         """A connection that stood before we started goes to its server, undecided."""
         if held.opening.at in self.dials:
             held.tries += 1
@@ -231,7 +238,7 @@
         else:
             self._stand_again(held)
 
-    def _stand_again(self, held: _Held) -> None:
+    def _stand_again(self, held: Held) -> None:
         if held.tries >= self.posting.vip.max_connects or self.clock() + AGAIN >= held.due:
             self.counts["standing_lost"] += 1
             self._answer(held, ERR)
@@ -243,11 +250,12 @@
         if held is not None and not held.up:
             self._stand(held)
 
-    def _begin(self, held: _Held, server: str, until: float) -> None:
+    def _begin(self, held: Held, server: str, until: float) -> None:
         now = held.began = self.clock()
         wait = until - now
         link = held.link = Link(
-            held.number, server, held.opening.rewritten(wait), self.put, self.clock, self.counts
+            held.number, server, held.opening.rewritten(wait), self.put, self.clock, self.counts,
+            wanted=lambda: held.wanted(self.clock(), self.posting.grace),
         )
         limit = self.posting.come_up
         held.until = until
@@ -262,6 +270,10 @@
             self.counts["late_answers"] += 1
             event.link.abandon()
             return
+        if held.client.gone:
+            # It broke off in the turn in which the receipt came, and its `Left` stands behind this.
+            self._left(Left(held.number))
+            return
         self._quiet(held)
         held.up = True
         self.counts["established"] += 1
@@ -293,7 +305,7 @@
         else:
             self._ended(held, link.abandon())
 
-    def _ended(self, held: _Held, result: str) -> None:
+    def _ended(self, held: Held, result: str) -> None:
         """A connect, or the connection that came of it, is over."""
         self._quiet(held)
         server, came, held.link = held.link.server, REACHES[held.link.came], None
@@ -302,9 +314,10 @@
         if held.up:
             self._drop(held)
             self._decide(i.Ended(held.number, server, True, result))
-        elif held.opening.at:
-            kind = self.posting.vip.service_types[held.opening.service_type].kind
-            if result in i.NEVER_RAN or kind == i.REPEATABLE:
+            return
+        held.over(result)
+        if held.opening.at:
+            if result in i.NEVER_RAN or held.kind.kind == i.REPEATABLE:
                 self._stand_again(held)
             else:
                 self.counts["standing_lost"] += 1
@@ -369,6 +382,19 @@
                 say("listed", logging.DEBUG, scope=event.scope, server=server.id, state=server.state,
                     at=server.started)  # fmt: skip
         self._decide(i.ServerList(event.scope, event.servers))
+        self._withdraw()
+
+    def _withdraw(self) -> None:
+        """Connects that have not come up are not for servers that take nothing new: one that came up late
+        wrote its first byte when the grace was over. Standing connections go where they stood."""
+        for held in list(self.flows.values()):
+            link = held.link
+            if link is None or link.reach != CONNECTING or held.opening.at:
+                continue
+            if link.server in self.draining or link.server not in self.dials:
+                self.counts["withdrawn_connects"] += 1
+                link.abandon()
+                self._ended(held, i.UNSENT)
 
     # The look at open connections
 
@@ -424,8 +450,7 @@
         held = self.flows.get(action.id)
         if held is not None and not held.up:
             self.counts["rejected"] += 1
-            advice = round(action.retry_after)
-            self._answer(held, b"%b %d" % (BUSY, advice) if advice > 0 else BUSY)
+            self._answer(held, self._busy(action.retry_after))
 
     def _abort(self, action: i.Abort) -> None:
         held = self.flows.get(action.id)
@@ -451,24 +476,24 @@
     def _nothing(self, action: i.Action) -> None:
         """Discovery watches by itself."""
 
-    def _answer(self, held: _Held, words: bytes) -> None:
+    def _answer(self, held: Held, words: bytes) -> None:
         self._drop(held)
         self._hang_up(held)
         self._trace("answered", held, words=words.decode())
         held.client.answer(words)
 
     @staticmethod
-    def _trace(event: str, held: _Held, **fields: object) -> None:
+    def _trace(event: str, held: Held, **fields: object) -> None:
         """Name a step of a flow by its client's id, the same at every balancer, where asked to."""
         if LOG.isEnabledFor(logging.DEBUG):
             say(event, logging.DEBUG, id=held.opening.id, flow=held.number, **fields)
 
-    def _quiet(self, held: _Held) -> None:
+    def _quiet(self, held: Held) -> None:
         if held.timer is not None and held.timer.active():
             held.timer.cancel()
         held.timer = None
 
-    def _hang_up(self, held: _Held) -> None:
+    def _hang_up(self, held: Held) -> None:
         self._quiet(held)
         if held.link is not None:
             held.link.abandon()
@@ -497,16 +522,16 @@
         elif any(held.link.server in self.draining for held in self.flows.values() if held.link):
             self._step_on()
 
-    def _standing(self) -> list[_Held]:
+    def _standing(self) -> list[Held]:
         return [held for held in self.flows.values() if held.up and not held.left]
 
-    def _send_away(self, up: list[_Held], left: float) -> None:
+    def _send_away(self, up: list[Held], left: float) -> None:
         """Move as many of them as brings all away in the time left, so that the others see no crowd. Parts of
         one are drawn: two hundred that rounded up their one or two were a crowd in the first step."""
         for held in up[: int(len(up) / max(1.0, left / STEP) + self.chance.random())]:
             self._move(i.Move(held.number))
 
-    def _stop_on(self, gone: float, up: list[_Held]) -> None:
+    def _stop_on(self, gone: float, up: list[Held]) -> None:
         last = min(self.posting.longest, STOP_LONGEST) + STOP_REST
         if gone >= STOP_MOVES:
             # Where all connect timeouts are short the kill comes before the spread is over.
@@ -517,17 +542,21 @@
         if up or self.flows:
             # Ending in the step that moved the last clients cut them off: their MOVE was never written.
             self.busy = gone
-        if gone >= last + STOP_FLUSH or gone >= max(STOP_STAY, self.busy + STOP_FLUSH):
+        end = last + STOP_FLUSH
+        if gone >= min(end, max(STOP_STAY, self.busy + STOP_FLUSH)) and (
+            # By counts, not by time alone: who came while we were held up is still to be read and answered.
+            gone >= end + STEP or not (self.owing() or self.queue)
+        ):
             self.stopped()
         else:
             self._step_on()
 
-    def _cut(self, held: _Held) -> None:
-        if held.up:
-            return
-        ran = held.link is not None and held.link.abandon() == i.TIMEOUT
-        kind = self.posting.vip.service_types[held.opening.service_type].kind
-        self._answer(held, ERR if ran and kind != i.REPEATABLE else BUSY)
+    def _cut(self, held: Held) -> None:
+        if held.up or held.link is not None and held.link.reach == STANDING:
+            return  # its receipt stands in the queue
+        if held.link is not None:
+            held.over(held.link.abandon())
+        self._answer(held, held.refusal(self._busy(STOP_ADVICE)))
 
     _on = {
         Asked: _asked, Answered: _answered, Fell: _fell, Overdue: _overdue, Left: _left, Loaded: _loaded,
--- a/lotusroute/net/servers.py
+++ b/lotusroute/net/servers.py
@@ -5,6 +5,7 @@
 never choose a server, try again, or speak to a client but to pass on.
 """
 
+import re
 from collections import deque
 from collections.abc import Callable
 from typing import NamedTuple
@@ -13,11 +14,13 @@
 from twisted.internet.protocol import ClientFactory
 
 from lotusroute import interface as i
-from lotusroute.net.lines import BUSY, BYE, LOAD, MOVE, UP, SliceReceiver, word
+from lotusroute.net.lines import BUSY, BYE, LOAD, MOVE, SliceReceiver, word
 from lotusroute.vip import Malformed, number
 
 UNANSWERED = 64  # client lines whose answers are timed at once; those of two minutes
 
+RECEIPT = re.compile(rb"UP [!-~][ -~]*\r\n")  # what a server made; less must not reach a client as served
+
 # How far a connect has come.
 CONNECTING, WRITING, WRITTEN, STANDING, OVER = range(5)
 REACHES = "connecting", "writing", "written", "standing"  # their names in the log
@@ -87,6 +90,10 @@
     def connectionMade(self) -> None:
         super().connectionMade()
         link = self.link
+        if not link.wanted():
+            link.fell(i.UNSENT)
+            self.transport.abortConnection()
+            return
         link.line = self.write(link.line)
         if link.line:
             self.transport.registerProducer(_Opening(self), streaming=False)
@@ -109,13 +116,14 @@
 
     def _first(self, line: memoryview) -> None:
         first, link = word(line), self.link
-        if first == UP and link.reach < OVER:
+        if RECEIPT.fullmatch(line) and link.reach == WRITTEN:
             # Lines that come with the receipt wait until the client's side takes them.
             self.held = True
             link.reach = STANDING
             self.last = i.RESET
             link.put(Answered(link.number, link, line))
         else:
+            # An UP without a receipt, or before our line was whole, is no answer that a server made for it.
             link.fell({BUSY: i.FULL, MOVE: i.CANCELLED}.get(first, i.ERROR))
             self.transport.abortConnection()
 
@@ -156,8 +164,12 @@
 
     noisy = False
 
-    def __init__(self, number: int, server: str, line: bytes, put: Callable, clock: Callable, counts) -> None:
+    def __init__(
+        self, number: int, server: str, line: bytes, put: Callable, clock: Callable, counts,
+        wanted: Callable[[], bool] = lambda: True,
+    ) -> None:  # fmt: skip
         self.number, self.server, self.line = number, server, line
+        self.wanted = wanted  # whether the line may be sent; asked once, as the connection is up
         self.put, self.clock, self.counts = put, clock, counts
         self.reach = self.came = CONNECTING  # how far it is, and how far it came before it was over
         self.side: ServerSide | None = None
--- a/lotusroute/vip.py
+++ b/lotusroute/vip.py
@@ -9,6 +9,7 @@
 from lotusroute import interface as i
 
 FLAGS = {"true": True, "false": False}
+UNTOLD = "non_idempotent"  # the effect where none is told: the one that is never repeated in error
 KINDS = {"read_like": i.REPEATABLE, "idempotency_key": i.REFERENCED, "non_idempotent": i.ONCE_ONLY}
 
 
@@ -64,7 +65,7 @@
     """Decode the settings; unknown ones are passed over, a bad one is named.
 
     >>> vip({"service_types.count": "1", "service_types.0.name": "live"}).service_types
-    {'live': ServiceType(setup_target=0.0, kind='repeatable', group='all', window=0.0)}
+    {'live': ServiceType(setup_target=0.0, kind='once-only', group='all', window=0.0)}
     """
 
     def figure(path: str, text: str, least: float = 0.0, most: float = math.inf) -> float:
@@ -92,7 +93,7 @@
         path = f"service_types.{at}."
         service_types[env.get(path + "name", "")] = i.ServiceType(
             setup_target=get(path + "setup_target"),
-            kind=one_of(KINDS, env.get(path + "effect", "read_like"), path + "effect"),
+            kind=one_of(KINDS, env.get(path + "effect", UNTOLD), path + "effect"),
             group=env.get(path + "group", "all"),
             window=get(path + "window"),
         )
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -124,6 +124,28 @@
         return {"host": self.name, "dial": dial, "health": health, "share": 1.0, "born_ms": 0}
 
 
+class SlowDoor(FakeServer):
+    """A server to which connections do not come up until `open` is called: its queue of them is full, so the
+    system lets later ones wait and tries again after a second."""
+
+    def _accept(self):
+        self.socket.listen(0)
+        self.filler = socket.create_connection(self.socket.getsockname())
+        self.shut = threading.Event()
+        self.shut.wait()
+        super()._accept()
+
+    def open(self):
+        self.shut.set()
+
+    def came(self, number=1):
+        """Wait until so many connections beside the filler have come up."""
+        return soon(lambda: len(self.conns) > number)
+
+    def flows(self):
+        return [line for line in self.lines if line.startswith(b"OPEN")]
+
+
 class FakeList(http.server.BaseHTTPRequestHandler):
     """Discovery, as far as its server's `entries` and `seq` go; silent while `seq` is 0. It keeps what was
     `asked` for and when, turns as many calls away as `refuses` says, and takes `slow` s for the others. Calls
