A client that left before its line was read has nothing begun for it

Observed: the story of 200 clients that leave while the balancer is held up failed once beside busy cores: the next client got BUSY. Cause: for each of the 200 a connection was begun before it was seen, as it came up, that its client had left; 200 at once overflowed the server's queue of 128, so that connects failed and paced all others. At fault: owner._asked looked at what had been read alone.

Change: the client's socket is looked into before anything is begun (a read more a flow).

--- a/lotusroute/net/clients.py
+++ b/lotusroute/net/clients.py
@@ -175,7 +175,7 @@
         return not (self.ended or self.gone)
 
     def left(self) -> bool:
-        """Whether the client of a flow that waits has left. It is looked for in the socket: an end that came
+        """Whether a client that waits has left. It is looked for in the socket: an end that came
         while we were held up, or beside the event that is handled, has not been read yet."""
         if self.look():
             return False
--- a/lotusroute/net/owner.py
+++ b/lotusroute/net/owner.py
@@ -187,7 +187,8 @@
 
     def _asked(self, event: Asked) -> None:
         opening, side = event.opening, event.side
-        if side.gone:
+        if side.gone or side.left():
+            # Nothing is begun for it: hundreds who had left unread filled a server's queue.
             self.counts["withdrawn"] += 1
         elif self._unusable(opening) or (opening.at and self.clock() > self.began + STAND_FROM):
             side.refuse()
