After a stall of ours a call to discovery has no more than fits before a drain's grace

Need: where lists are asked for, a call that was timed out late by a busy core had a whole patience more, 6.6 s with the wait; with a grace of 500 ms and 2 s in discovery's line the next must be sent after 4.5.

Change: what is left of 6 s and the grace, counted once with the wait (Discovery.extra). The stub of a client in one story gains `left`.

--- a/lotusroute/net/discovery.py
+++ b/lotusroute/net/discovery.py
@@ -32,7 +32,7 @@
 LINE = 2.0  # s that calls of many stand in line, where lists have to be asked for, before they fail
 PATIENCE = LINE + 0.3  # s beyond the wait for a whole answer
 QUICK = 0.1, 1.0  # s, least and most of it where an agent of our own machine has the list and answers at once
-STALL = 0.05  # s by which a time-out comes late when we were held up, and say nothing of discovery
+STALL = 0.05  # s by which a time-out comes late when we were held up, and says nothing of discovery
 FAILED = 0.1, 2.0  # s, first and longest pause after a failed call: the first within the 200 ms of a watch
 AT_HAND = 0.5  # s, the longest where an agent has the list: it costs nothing to ask
 SLACK = 0.15  # s for a busy core and the way of an answer
@@ -127,7 +127,8 @@
             self.longest = min(AT_HAND, max(FAILED[0], grace / 4000))
         bound = LATEST + grace / 1000 - LINE  # s in which a call that stands in line has to be sent
         spare = bound - self.patience - FAILED[0] - SLACK
-        self.hold = HOLD if pushed else int(min(HOLD, 1000 * spare))
+        self.hold = HOLD if pushed else int(min(HOLD, 1000 * spare))  # ms
+        self.extra = spare + SLACK - self.hold / 1000  # s that a call may have more after a stall of ours
         # A refusal costs discovery too, and 40 every second kept it busy. One pause and an answer's line fit
         # between the news and the last moment at which the old list may be followed.
         self.refused = (self.longest, self.longest) if pushed else (bound / 2, bound)
@@ -200,7 +201,7 @@
             url, wait = f"{url}?from={self.seq}&hold_ms={hold}", wait + hold / 1000
         reached = CALL
         self.counts["discovery_calls"] += 1
-        self._time(wait)
+        self._time(wait, self.extra)
         try:
             self.waiting = self.agent.request(b"GET", url.encode())
             answer = await self.waiting
@@ -228,13 +229,14 @@
             if self.alarm.active():
                 self.alarm.cancel()
 
-    def _time(self, seconds: float, longest: float | None = None) -> None:
-        """Give the call in hand up after so long, and after a stall of ours once more, up to PATIENCE."""
-        due, left = reactor.seconds() + seconds, PATIENCE if longest is None else longest
+    def _time(self, seconds: float, extra: float) -> None:
+        """Give the call in hand up after so long. Where we were held up meanwhile its answer may lie unread:
+        it has `extra` seconds more then, a patience at a time."""
+        due = reactor.seconds() + seconds
 
         def over() -> None:
-            if reactor.seconds() > due + STALL and left > 0:
-                self._time(min(self.patience, left), left - self.patience)
+            if reactor.seconds() > due + STALL and extra > 0:
+                self._time(min(self.patience, extra), extra - self.patience)
             else:
                 self.waiting.cancel()
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -597,6 +597,9 @@
     class Side:
         gone, said = False, ()
 
+        def left(self):
+            return False
+
         def refuse(self):
             self.said = b"ERR"
 
