A story waits for the line of the client that it follows, not for two connections

Observed: ten plays of tests/test_endings.py at once all failed in one story since nothing is begun for a client whose socket shows that it is to be refused: the story waited for a second connection that rightly never comes. It waits for the first client's line now, and asserts as much as before.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -118,7 +118,7 @@
         flood.conn.sendall(b"x" * 40_000)
         start = time.monotonic()
         assert flood.readline() == b"ERR\r\n" and time.monotonic() < start + 0.5
-        soon(lambda: len(server.conns) == 2)
+        soon(lambda: any(line.startswith(b"OPEN id1 ") for line in server.lines))
         for conn in server.conns:
             try:
                 conn.sendall(b"UP r1\r\n")
