--- a/lotusroute/net/clients.py
+++ b/lotusroute/net/clients.py
@@ -179,9 +179,15 @@
         while we were held up, or beside the event that is handled, has not been read yet."""
         if self.look():
             return False
-        self._tell_left()
+        self._leave()
         return True
 
+    def _leave(self) -> None:
+        if not self.number:
+            self.gone = True
+            self.transport.loseConnection()
+        self._tell_left()
+
     def _tell_left(self) -> None:
         if self.number:
             self.factory.put(Left(self.number))
@@ -236,10 +242,9 @@
     def otherEnded(self) -> None:
         if self.link is not None:
             self.link.client_ended(self.clearLineBuffer())
-        elif not self.number:
-            self.gone = True
-            self.transport.loseConnection()
-        self._tell_left()
+            self._tell_left()
+        else:
+            self._leave()
 
     def timeoutConnection(self) -> None:
         if not self.answered:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -189,6 +189,18 @@
         assert {balancer.ask(str(at)).readline() for at in range(9)} == {b"UP two\r\n"}
 
 
+def test_a_watch_that_is_reset_is_opened_anew_before_a_short_grace_is_over():
+    one, two = FakeServer("s1", b"UP one\r\n"), FakeServer("s2", b"UP two\r\n")
+    with Balancer(one, two, settings=PUSHED, resets=True) as balancer:
+        watching(balancer)
+        balancer.list.entries, balancer.list.seq = [one.entry("DRAINING"), two.entry()], 2
+        balancer.list.cut += 1
+        cut = time.monotonic()
+        soon(lambda: balancer.list.asked[-1][0] > cut)
+        assert balancer.list.asked[-1][0] - cut < 0.5
+        assert {balancer.ask(str(at)).readline() for at in range(9)} == {b"UP two\r\n"}
+
+
 def test_what_an_agent_learns_at_its_return_is_heard_within_a_short_grace():
     one, two = FakeServer("s1", b"UP one\r\n"), FakeServer("s2", b"UP two\r\n")
     with Balancer(one, two, settings=PUSHED) as balancer:
