--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -205,8 +205,8 @@
 
 
 def free_port():
-    """A port for a program that is still to start: below the range that the system hands out by itself, so that
-    no stand-in of another story gets it meanwhile."""
+    """A port for a program that is still to start: below the range that the system hands out by itself, so
+    that no stand-in of another story gets it meanwhile."""
     while True:
         at = "127.0.0.1", PORTS.randrange(10_000, 32_000)
         with contextlib.suppress(OSError), socket.create_server(at) as free:
