A story for a list over which something broke: the whole list is asked for

Need: the mend of owner._failed had a story for flows and actions, none for a list. Without it the version stays and a drain that was not taken does not come again: the story's last line fails.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -17,6 +17,7 @@
 
 from lotusroute import interface as i
 from lotusroute.net.clients import Asked
+from lotusroute.net.discovery import Discovery, Listed
 from lotusroute.net.owner import Owner
 
 EFFECTS = "read_like", "idempotency_key", "non_idempotent"
@@ -401,6 +402,14 @@
     assert said == [b"ERR"]
 
 
+def test_a_list_over_which_something_broke_is_asked_for_whole():
+    following = Discovery(("127.0.0.1", 1), 41, 7, print, collections.Counter())
+    owner = broken_owner()
+    owner.relist = following.forget
+    Owner._failed(owner, Listed(i.CHANGES, (), {}), 0)
+    assert following.seq is None
+
+
 def test_a_referenced_flow_of_an_unknown_group_that_may_have_run_goes_nowhere_else():
     kind = i.ServiceType(300.0, i.REFERENCED, "shelf", 9_000.0)
     host = FakeHost(vip=i.Vip({"live": kind}, max_connects=4))
