A flood that is found as its flow is taken lingers after its refusal like any other

Observed, in the last reading of the change: ClientSide.left closed a client that its own look had just refused for saying too much, at once and over what it still sent, so that a reset may overtake the ERR. On this system's loopback the end is read first, so no story on sockets can show it; one on the transport does, and fails without the change (closed is true).

--- a/lotusroute/net/clients.py
+++ b/lotusroute/net/clients.py
@@ -179,7 +179,9 @@
         while we were held up, or beside the event that is handled, has not been read yet."""
         if self.look():
             return False
-        self._leave()
+        if not self.answered:
+            # One refused over what was just read lingers, so that no reset overtakes its last line.
+            self._leave()
         return True
 
     def _leave(self) -> None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -14,9 +14,11 @@
 
 import pytest
 from fakehost import DEADLINE, SETTINGS, Balancer, FakeHost, FakeServer, SlowDoor, soon
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
 
 from lotusroute import interface as i
-from lotusroute.net.clients import Asked
+from lotusroute.net.clients import Asked, Clients
 from lotusroute.net.discovery import Discovery, Listed
 from lotusroute.net.owner import Owner
 
@@ -134,6 +136,45 @@
         assert hasty.readline() == b"UP r1\r\n" and [hasty.readline() for _ in lines] == lines
 
 
+class Socket(StringTransport):
+    """A transport whose socket holds a flood."""
+
+    bufferSize, dataBuffer, _tempDataBuffer, closed = 8_192, b"", (), False
+
+    def doRead(self):
+        self.protocol.dataReceived(b"x" * self.bufferSize)
+
+    def writeSomeData(self, data):
+        self.write(data)
+        return len(data)
+
+    def setTcpNoDelay(self, _):
+        pass
+
+    def unregisterProducer(self):
+        pass
+
+    def loseWriteConnection(self):
+        pass
+
+    def loseConnection(self):
+        self.closed = True
+
+
+def test_a_flood_that_is_found_as_its_flow_is_taken_is_refused_and_lingers():
+    # Closed at once over what it still sends, it would be sent a reset that may overtake its last line.
+    events, counts = [], collections.Counter()
+    clients = Clients(events.append, lambda: 0.0, lambda: True, 1_024, counts)
+    side = clients.buildProtocol(None)
+    side.callLater = Clock().callLater
+    side.transport = Socket()
+    side.transport.protocol = side
+    side.makeConnection(side.transport)
+    side.dataReceived(b"OPEN id1 k c=live,d=900\r\n")
+    assert side.left() and side.transport.value() == b"ERR\r\n" and counts["overran"] == 1
+    assert not side.transport.closed and len(events) == 1
+
+
 @pytest.mark.parametrize("effect", EFFECTS)
 def test_a_client_that_breaks_off_in_the_turn_of_its_receipt_leaves_its_server_too(effect):
     server = FakeServer("s0", None)
