Read again: one last look at a client without a flow, one place that opens the door

What was in the change twice or for one caller: the look whether a line has come (first-line time-out, eviction), Clients.owing, Discovery._first_over. Behaviour as before: what is put and the door's opening both act in the next turn.

--- a/lotusroute/net/clients.py
+++ b/lotusroute/net/clients.py
@@ -184,6 +184,11 @@
             self._leave()
         return True
 
+    def _has_asked(self) -> bool:
+        """Look a last time whether its line has come: it may lie unread, and it was we who were held up."""
+        self.look()
+        return self not in self.factory.idle
+
     def _leave(self) -> None:
         if not self.number:
             self.gone = True
@@ -249,11 +254,8 @@
             self._leave()
 
     def timeoutConnection(self) -> None:
-        if not self.answered:
-            # Its line may lie in the socket: it was we who were held up.
-            self.look()
-            if self not in self.factory.idle:
-                return
+        if not self.answered and self._has_asked():
+            return
         self.factory.counts["said_nothing"] += not self.answered
         if self.answered:
             super().timeoutConnection()
@@ -263,9 +265,7 @@
     def end_early(self) -> None:
         """Make room at once, not a turn later: until then a flood takes the descriptors that others need."""
         if not self.answered:
-            # Its line may have come and not been read yet.
-            self.look()
-            if self not in self.factory.idle:
+            if self._has_asked():
                 return
             self.transport.writeSomeData(BUSY + END)
         elif self.unwritten():
@@ -315,10 +315,6 @@
             self.counts["turned_away"] += 1
             side.answer(BUSY)
 
-    def owing(self) -> bool:
-        """Whether a connection has begun to ask and has no answer, or has not been written its last words."""
-        return any(side.owed() for side in self.sides)
-
     def sweep(self, door: "Door") -> bool:
         """Take in who waits at the door, and read what lies in the sockets of those without a flow, before
         all is closed; whether one of them is still owed something."""
@@ -328,7 +324,7 @@
             door.doRead()
         for side in list(self.idle):
             side.look()
-        return self.owing()
+        return any(side.owed() for side in self.sides)
 
     def let_go(self, side: ClientSide) -> None:
         """A connection has its last line and only lingers."""
--- a/lotusroute/net/discovery.py
+++ b/lotusroute/net/discovery.py
@@ -168,13 +168,14 @@
             if self.closed:
                 # What the old address still told is not put behind news from the new one.
                 return
+            heard, self.heard = self.heard, None
+            if heard is not None:
+                heard()
             if isinstance(news, Listed):
                 pause = 0.0
                 if news.servers or news.scope == i.WHOLE:
                     self.put(news)
-                self._first_over()
                 continue
-            self._first_over()
             self.counts["discovery_failed"] += 1
             if self.watch is not None:
                 self.watch.failed()
@@ -186,11 +187,6 @@
             with contextlib.suppress(defer.CancelledError):
                 await self.waiting
 
-    def _first_over(self) -> None:
-        heard, self.heard = self.heard, None
-        if heard is not None:
-            heard()
-
     async def _call(self) -> Listed | Failed:
         """Ask once; whatever goes wrong comes back as a value."""
         url, wait = self.base, self.patience
