Log and count steps of the wall clock, late timers, and why connections end

Need: the log of the incident did not say that the wall clock was stepped, that a check was overdue, or which of four causes ended a connection; lines had the wall clock alone, so their order was lost with it.

Change: every log line has mono=, the monotonic clock. New events: wall clock stepped, timers late (both WARNING, counted), connections checked, server unresponsive, first line timed out (DEBUG). connection ended, client migrated and answered say why; load report has the client's id.

--- /dev/null
+++ b/lotusroute/net/clock_monitor.py
@@ -0,0 +1,65 @@
+"""Watches the machine's two clocks and the timers, and reports what makes them untrustworthy.
+
+The wall clock may be stepped at any time; the monotonic clock is never. Nothing is decided here: steps of the
+wall clock and late timers are logged and counted, for whoever reads the logs of an incident. All times are
+milliseconds.
+"""
+
+import logging
+import math
+import time
+from collections.abc import Callable
+
+from lotusroute.net.structured_log import Counters, log_event
+
+MS_PER_SECOND = 1000
+MIN_STEP = 100.0  # ms of change of the wall clock that is reported; slewing changes it by less between looks
+MAX_TIMER_DELAY = 1_000.0  # ms of delay from which the periodic timer is reported as late
+
+
+def monotonic_ms() -> float:
+    """Return the monotonic clock."""
+    return time.monotonic() * MS_PER_SECOND
+
+
+def wall_ms() -> float:
+    """Return the wall clock: Unix time."""
+    return time.time() * MS_PER_SECOND
+
+
+class ClockMonitor:
+    """Compares the clocks, and a periodic timer with the time at which it was due.
+
+    `observe` is called on every input, so that what is wrong with the timers shows even where none fires.
+    """
+
+    def __init__(
+        self,
+        counters: Counters,
+        monotonic: Callable[[], float] = monotonic_ms,
+        wall: Callable[[], float] = wall_ms,
+    ) -> None:
+        self._counters = counters
+        self._monotonic = monotonic
+        self._wall = wall
+        self._offset = wall() - monotonic()
+        self._due_at = math.inf  # of the periodic timer; infinity once its delay is reported
+
+    def expect_timer(self, delay: float) -> None:
+        """Note that the periodic timer was set to fire in `delay` ms."""
+        self._due_at = self._monotonic() + delay
+
+    def observe(self) -> None:
+        """Log and count a step of the wall clock since the last look, and a periodic timer that is late."""
+        now = self._monotonic()
+        offset = self._wall() - now
+        step = offset - self._offset
+        self._offset = offset
+        if abs(step) >= MIN_STEP:
+            self._counters["wall_clock_steps"] += 1
+            log_event("wall clock stepped", logging.WARNING, by=step)
+        delay = now - self._due_at
+        if delay >= MAX_TIMER_DELAY:
+            self._due_at = math.inf
+            self._counters["late_timers"] += 1
+            log_event("timers late", logging.WARNING, by=delay)
--- a/lotusroute/net/connection_monitor.py
+++ b/lotusroute/net/connection_monitor.py
@@ -13,7 +13,8 @@
 from lotusroute.net.flow import ActiveFlow
 from lotusroute.net.flow_manager import FlowManager
 from lotusroute.net.flow_table import FlowTable
-from lotusroute.net.structured_log import Counters, log_event
+from lotusroute.net.reasons import MigrationReason
+from lotusroute.net.structured_log import LOGGER, Counters, log_event
 from lotusroute.net.upstream import ReplyTimed
 from lotusroute.routing import events
 
@@ -49,6 +50,7 @@
     def start(self) -> None:
         """Schedule the next check."""
         self._loop.call_later(CHECK_INTERVAL, PeriodicCheck())
+        self._loop.clock_monitor.expect_timer(CHECK_INTERVAL)
 
     def reply_timed(self, event: ReplyTimed) -> None:
         """Record how long a server took to reply to a client's line."""
@@ -75,12 +77,20 @@
                 unresponsive.append(flow)
             elif flow.upstream.client_idle_time(now) >= IDLE_CLIENT_TIMEOUT:
                 idle.append(flow)
+        if LOGGER.isEnabledFor(logging.DEBUG):
+            log_event(
+                "connections checked",
+                logging.DEBUG,
+                flows=len(self._table),
+                unresponsive=len(unresponsive),
+                idle=len(idle),
+            )
         self._report_latencies()
         for flow in idle:
-            self._flows.migrate(flow.number)
+            self._flows.migrate(flow.number, MigrationReason.IDLE_CLIENT)
         for flow in unresponsive:
             # A machine that has vanished sends nothing, and TCP does not notice.
-            self._flows.disconnect_unresponsive(flow)
+            self._flows.disconnect_unresponsive(flow, now)
 
     def _report_latencies(self) -> None:
         """Report slow servers to the Director: at each check while they are slow, and once after."""
--- a/lotusroute/net/downstream.py
+++ b/lotusroute/net/downstream.py
@@ -5,6 +5,7 @@
 once a flow is reported its answer is left to whoever took the report.
 """
 
+import logging
 from collections import Counter
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
@@ -15,6 +16,7 @@
 from lotusroute.errors import ProtocolError
 from lotusroute.net.line_protocol import BUSY, ERR, LINE_END, MAX_LINE_LENGTH, MOVE, PING, PONG, LineProtocol
 from lotusroute.net.open_request import OpenRequest, parse_open_request
+from lotusroute.net.structured_log import log_event
 from lotusroute.net.upstream import UpstreamAttempt
 
 FIRST_LINE_TIMEOUT = 2.0  # s from connecting to a complete first line; a close is due within 3 s
@@ -245,11 +247,14 @@
         """Close a connection without a first line, or one that lingers too long."""
         if not self.answered and self._has_requested_flow():
             return
-        self.factory.counters["first_line_timeouts"] += int(not self.answered)
         if self.answered:
             super().timeoutConnection()
-        else:
-            self.transport.loseConnection()
+            return
+        self.factory.counters["first_line_timeouts"] += 1
+        log_event(
+            "first line timed out", logging.DEBUG, peer=self.transport.getPeer(), received=len(self._buffer)
+        )
+        self.transport.loseConnection()
 
     def evict(self) -> None:
         """Free the descriptor now: an iteration later a connection storm has taken those others need."""
--- a/lotusroute/net/draining.py
+++ b/lotusroute/net/draining.py
@@ -12,6 +12,7 @@
 from lotusroute.net.flow import ActiveFlow
 from lotusroute.net.flow_manager import FlowManager
 from lotusroute.net.flow_table import FlowTable
+from lotusroute.net.reasons import MigrationReason
 
 MIGRATION_INTERVAL = 50.0  # ms between batches
 
@@ -27,7 +28,7 @@
         self._flows = flows
         self._rng = rng
 
-    def migrate_batch(self, candidates: list[ActiveFlow], time_left: float) -> None:
+    def migrate_batch(self, candidates: list[ActiveFlow], time_left: float, reason: MigrationReason) -> None:
         """Migrate as many flows as brings all away within `time_left` ms.
 
         A fraction of a flow is sampled: two hundred balancers that rounded their one or two up were a
@@ -35,7 +36,7 @@
         """
         batch_size = len(candidates) / max(1.0, time_left / MIGRATION_INTERVAL)
         for flow in candidates[: int(batch_size + self._rng.random())]:
-            self._flows.migrate(flow.number)
+            self._flows.migrate(flow.number, reason)
 
 
 class ServerDraining:
@@ -61,7 +62,7 @@
         for server, deadline in self._endpoints.drain_deadlines.items():
             # Looked up again for each: the first of two that drained at once had left none to the second.
             candidates = [flow for flow in self._table.established() if flow.connection.server == server]
-            self._migrator.migrate_batch(candidates, deadline - now)
+            self._migrator.migrate_batch(candidates, deadline - now, MigrationReason.SERVER_DRAINS)
 
     def schedule_next_step(self) -> None:
         """Schedule a further step while a flow is connected, or connecting, to a draining server."""
--- a/lotusroute/net/event_loop.py
+++ b/lotusroute/net/event_loop.py
@@ -14,6 +14,7 @@
 from twisted.internet import reactor
 from twisted.internet.base import DelayedCall
 
+from lotusroute.net.clock_monitor import ClockMonitor
 from lotusroute.net.structured_log import Counters, log_exception
 
 MS_PER_SECOND = 1000
@@ -24,6 +25,7 @@
 
     def __init__(self, counters: Counters) -> None:
         self._counters = counters
+        self.clock_monitor = ClockMonitor(counters)
         # Unix time, because servers' start times and the balancers' turns at a task are expressed in it, but
         # advanced by the monotonic clock.
         self.epoch = time.time() * MS_PER_SECOND - time.monotonic() * MS_PER_SECOND
@@ -58,6 +60,7 @@
 
     def run_pending(self) -> None:
         """Dispatch queued events until none is left, those that handlers add included."""
+        self.clock_monitor.observe()
         while self._queue:
             event = self._queue.popleft()
             try:
--- a/lotusroute/net/existing_connections.py
+++ b/lotusroute/net/existing_connections.py
@@ -13,6 +13,7 @@
 from lotusroute.net.event_loop import EventLoop
 from lotusroute.net.flow import ActiveFlow
 from lotusroute.net.line_protocol import ERR
+from lotusroute.net.reasons import AnswerReason
 from lotusroute.net.structured_log import Counters
 from lotusroute.routing import events
 
@@ -37,7 +38,7 @@
         loop: EventLoop,
         endpoints: EndpointRegistry,
         start_attempt: Callable[[ActiveFlow, str, float], None],
-        answer: Callable[[ActiveFlow, bytes], None],
+        answer: Callable[[ActiveFlow, bytes, str], None],
     ) -> None:
         self._config = config
         self._counters = counters
@@ -72,4 +73,4 @@
 
     def _give_up(self, flow: ActiveFlow) -> None:
         self._counters["existing_connections_lost"] += 1
-        self._answer(flow, ERR)
+        self._answer(flow, ERR, AnswerReason.EXISTING_CONNECTION_LOST)
--- a/lotusroute/net/flow_manager.py
+++ b/lotusroute/net/flow_manager.py
@@ -7,7 +7,6 @@
 All times are milliseconds of Unix time.
 """
 
-import logging
 import math
 from collections.abc import Callable
 from typing import Any, NamedTuple
@@ -21,7 +20,8 @@
 from lotusroute.net.flow import ActiveFlow
 from lotusroute.net.flow_table import FlowTable
 from lotusroute.net.line_protocol import ERR
-from lotusroute.net.structured_log import LOGGER, Counters, log_event
+from lotusroute.net.reasons import AnswerReason, EndReason, MigrationReason
+from lotusroute.net.structured_log import Counters, log_event
 from lotusroute.net.upstream import (
     AttemptEnded,
     AttemptStage,
@@ -176,7 +176,7 @@
             connection = flow.connection
             connection.abort()
             flow.downstream.half_close()
-            self._connection_ended(flow, connection, events.CANCELLED)
+            self._connection_ended(flow, connection, events.CANCELLED, EndReason.CLOSE_GRACE_EXPIRED)
 
     # Connection attempts
 
@@ -234,7 +234,7 @@
         """Take the end of the current attempt, or of the connection that came of it."""
         flow = self._table.get(event.flow_id)
         if flow is not None and flow.upstream is event.attempt:
-            self._connection_ended(flow, event.attempt, event.result)
+            self._connection_ended(flow, event.attempt, event.result, event.reason)
 
     def attempt_timed_out(self, event: AttemptTimedOut) -> None:
         """End an attempt whose connect timeout, or whole time, has passed.
@@ -250,15 +250,19 @@
         if attempt.stage > AttemptStage.CONNECTING and remaining > 0:
             flow.timer = self._loop.call_later(remaining, event)
         else:
-            self._connection_ended(flow, attempt, attempt.abort())
+            self._connection_ended(flow, attempt, attempt.abort(), EndReason.TIMED_OUT)
 
-    def _connection_ended(self, flow: ActiveFlow, attempt: UpstreamAttempt, result: str) -> None:
+    def _connection_ended(
+        self, flow: ActiveFlow, attempt: UpstreamAttempt, result: str, reason: EndReason
+    ) -> None:
         """Have the Director, or the rule for existing connections, choose what follows an end."""
         flow.cancel_timer()
         server = attempt.server
         flow.upstream = None
         self._counters[f"ended_{result}"] += 1
-        flow.log_step("connection ended", server=server, result=result, came=attempt.final_stage.log_name)
+        flow.log_step(
+            "connection ended", server=server, result=result, why=reason, came=attempt.final_stage.log_name
+        )
         if flow.established:
             self._table.remove(flow)
             self.decide(events.ConnectionEnded(flow.number, server, True, result))
@@ -284,7 +288,7 @@
             if not self._endpoints.accepts_new_flows(attempt.server):
                 self._counters["connects_cancelled"] += 1
                 attempt.abort()
-                self._connection_ended(flow, attempt, events.UNSENT)
+                self._connection_ended(flow, attempt, events.UNSENT, EndReason.SERVER_DRAINS)
 
     def retry_existing(self, event: RetryExisting) -> None:
         """Try an existing connection again after its backoff."""
@@ -294,24 +298,26 @@
 
     # Ends that other parts of the balancer ask for
 
-    def migrate(self, flow_number: int) -> None:
+    def migrate(self, flow_number: int, reason: MigrationReason) -> None:
         """Ask the client of an established flow to reconnect, and close its connection."""
         flow = self._table.get(flow_number)
         if flow is not None and flow.established and not flow.client_left_at:
             connection = flow.connection
             self._counters["migrated"] += 1
-            flow.log_step("client migrated", server=connection.server)
+            flow.log_step("client migrated", server=connection.server, why=reason)
             flow.downstream.send_migrate()
             connection.close_after_migration()
-            self._connection_ended(flow, connection, events.CANCELLED)
+            self._connection_ended(flow, connection, events.CANCELLED, EndReason.MIGRATED)
 
-    def disconnect_unresponsive(self, flow: ActiveFlow) -> None:
+    def disconnect_unresponsive(self, flow: ActiveFlow, now: float) -> None:
         """Ask the client of a server that has gone silent to reconnect."""
         self._counters["unresponsive_connections"] += 1
         connection = flow.connection
+        silence = connection.server_silence(now)
+        flow.log_step("server unresponsive", server=connection.server, silence=silence)
         connection.abort()
         flow.downstream.send_migrate()
-        self._connection_ended(flow, connection, events.RESET)
+        self._connection_ended(flow, connection, events.RESET, EndReason.UNRESPONSIVE)
 
     def reject_unfinished(self) -> None:
         """Give all flows that are not established their final answer: the shutdown waits no longer."""
@@ -321,7 +327,8 @@
                 continue  # established, or its receipt is in the queue
             if attempt is not None:
                 flow.record_attempt_result(attempt.abort())
-            self._answer(flow, flow.final_rejection(self._busy_line(SHUTDOWN_RETRY_AFTER)))
+            answer = flow.final_rejection(self._busy_line(SHUTDOWN_RETRY_AFTER))
+            self._answer(flow, answer, AnswerReason.SHUTDOWN)
 
     def fail(self, flow_number: int) -> None:
         """End a flow whose handling raised an exception, so that its client is not left waiting."""
@@ -338,15 +345,15 @@
 
     def load_reported(self, event: LoadReported) -> None:
         """Pass a server's load report for a connection to the Director."""
-        if LOGGER.isEnabledFor(logging.DEBUG):
-            log_event("load report", logging.DEBUG, flow=event.flow_id, load=event.load)
-        if self._table.get(event.flow_id) is not None:
+        flow = self._table.get(event.flow_id)
+        if flow is not None:
+            flow.log_step("load report", load=event.load)
             self.decide(events.LoadReport(event.flow_id, event.load))
 
-    def _answer(self, flow: ActiveFlow, line: bytes) -> None:
+    def _answer(self, flow: ActiveFlow, line: bytes, reason: str) -> None:
         self._table.remove(flow)
         flow.abort_attempt()
-        flow.log_step("answered", words=line.decode())
+        flow.log_step("answered", words=line.decode(), why=reason)
         flow.downstream.send_final_answer(line)
 
     # The Director's commands
@@ -364,16 +371,16 @@
         flow = self._table.get(command.id)
         if flow is not None and not flow.established:
             self._counters["rejected"] += 1
-            self._answer(flow, self._busy_line(command.retry_after))
+            self._answer(flow, self._busy_line(command.retry_after), command.reason)
 
     def _abort(self, command: events.Abort) -> None:
         flow = self._table.get(command.id)
         if flow is not None and not flow.established:
             self._counters["aborted"] += 1
-            self._answer(flow, ERR)
+            self._answer(flow, ERR, command.reason)
 
     def _migrate(self, command: events.Migrate) -> None:
-        self.migrate(command.id)
+        self.migrate(command.id, MigrationReason.ROUTING)
 
     def _set_timer(self, command: events.SetTimer) -> None:
         self._loop.call_later(command.delay, events.TimerFired(command.mark))
--- a/lotusroute/net/shutdown.py
+++ b/lotusroute/net/shutdown.py
@@ -13,6 +13,7 @@
 from lotusroute.net.event_loop import CoalescedTimer, EventLoop
 from lotusroute.net.flow_manager import FlowManager
 from lotusroute.net.flow_table import FlowTable
+from lotusroute.net.reasons import MigrationReason
 from lotusroute.net.structured_log import log_event
 
 # All in ms; those "after the start" count from the order to stop.
@@ -76,7 +77,7 @@
         if elapsed >= MIGRATION_START:
             # Where all connect timeouts are short the kill comes before the spread is over.
             migration_end = min(MIGRATION_START + MIGRATION_SPREAD, self._answer_limit - ANSWER_MARGIN)
-            self._migrator.migrate_batch(established, migration_end - elapsed)
+            self._migrator.migrate_batch(established, migration_end - elapsed, MigrationReason.SHUTDOWN)
         if elapsed >= self._answer_limit:
             self._flows.reject_unfinished()
         if established or self._table:
--- a/lotusroute/net/structured_log.py
+++ b/lotusroute/net/structured_log.py
@@ -6,6 +6,7 @@
 
 import logging
 import sys
+import time
 from collections import Counter
 
 from twisted.python import log as twisted_log
@@ -17,16 +18,20 @@
 class KeyValueFormatter(logging.Formatter):
     """Formats a record as key=value pairs; a value with spaces, quotes or `=` is quoted.
 
+    `time` is Unix time in s. The wall clock may be stepped, so `mono` has the monotonic clock of the machine,
+    by which lines keep their order and their distance, those of several processes too.
+
     >>> fields = {"server": "s-1", "ms": 4.25}
     >>> record = logging.makeLogRecord({"msg": "outlier ejected", "levelname": "INFO", "fields": fields})
     >>> KeyValueFormatter().format(record).split(" ", 2)[2]
-    'event="outlier ejected" server=s-1 ms=4.250'
+    'level=info event="outlier ejected" server=s-1 ms=4.250'
     """
 
     def format(self, record: logging.LogRecord) -> str:
         """Return the line of a record, with its traceback under `trace` where it has one."""
         fields = {
             "time": f"{record.created:.3f}",
+            "mono": f"{time.monotonic():.3f}",
             "level": record.levelname.lower(),
             "event": record.getMessage(),
             **getattr(record, "fields", {}),
--- a/lotusroute/net/upstream.py
+++ b/lotusroute/net/upstream.py
@@ -20,6 +20,7 @@
 
 from lotusroute.errors import InvalidValueError
 from lotusroute.net.line_protocol import BUSY, BYE, LOAD, MOVE, LineProtocol, command_of
+from lotusroute.net.reasons import EndReason
 from lotusroute.routing import events
 from lotusroute.service_config import parse_number
 
@@ -57,6 +58,7 @@
     flow_id: int
     attempt: "UpstreamAttempt"
     result: str
+    reason: EndReason
 
 
 class LoadReported(NamedTuple):
@@ -108,13 +110,14 @@
         self.last_reply_time = 0.0  # when the server's last line came; 0: never
         self.last_request_time = 0.0  # when the client's last line came; 0: never
         self.result_if_closed = events.RESET  # how the connection ends if it is closed now
+        self.downstream_left = False  # the client has stopped sending, or its connection broke
 
     def connectionMade(self) -> None:
         """Write the first line, if it may still be sent."""
         super().connectionMade()
         attempt = self.attempt
         if not attempt.may_send():
-            attempt.report_end(events.UNSENT)
+            attempt.report_end(events.UNSENT, EndReason.NOT_SENT)
             self.transport.abortConnection()
             return
         attempt.line = self.write_now(attempt.line)
@@ -151,7 +154,8 @@
             attempt.put(ReceiptReceived(attempt.flow_id, attempt, line))
         else:
             # An UP without a receipt, or before our line was complete, was not made for this request.
-            attempt.report_end(RESULTS_OF_ANSWERS.get(command_of(line), events.ERROR))
+            result = RESULTS_OF_ANSWERS.get(command_of(line), events.ERROR)
+            attempt.report_end(result, EndReason.ANSWERED)
             self.transport.abortConnection()
 
     def _report_load(self, line: memoryview) -> None:
@@ -175,23 +179,28 @@
             # A line without its ending is forwarded as it is: nothing more will come.
             self.downstream.transport.write(self.clearLineBuffer())
             self.downstream.half_close()
-            self.attempt.report_end(self.result_if_closed)
+            self.attempt.report_end(self.result_if_closed, self._reason_if_closed(EndReason.SERVER_CLOSED))
         elif self.attempt.stage < AttemptStage.ESTABLISHED:
-            self.attempt.report_end(self.attempt.result_if_broken())
+            self.attempt.report_end(self.attempt.result_if_broken(), EndReason.SERVER_CLOSED)
             self.transport.abortConnection()
 
     def connection_lost(self) -> None:
         """The connection is closed or broken."""
         if self.downstream is None:
-            self.attempt.report_end(self.attempt.result_if_broken())
+            self.attempt.report_end(self.attempt.result_if_broken(), EndReason.CONNECTION_LOST)
             return
         if not self.read_closed:
             self.downstream.transport.abortConnection()
-        self.attempt.report_end(self.result_if_closed)
+        self.attempt.report_end(self.result_if_closed, self._reason_if_closed(EndReason.CONNECTION_LOST))
+
+    def _reason_if_closed(self, reason: EndReason) -> EndReason:
+        """Return `reason`, or that the client left first."""
+        return EndReason.CLIENT_LEFT if self.downstream_left else reason
 
     def lineLengthExceeded(self, line: bytes) -> None:
         """Close over a line that is too long."""
-        self.attempt.report_end(events.ERROR if self.downstream is None else events.RESET)
+        result = events.ERROR if self.downstream is None else events.RESET
+        self.attempt.report_end(result, EndReason.LINE_TOO_LONG)
         self.transport.abortConnection()
 
 
@@ -250,17 +259,18 @@
         """Twisted: the connection did not come up."""
         # Without a free descriptor the failure is ours, not the server's.
         local_failure = reason.check(error.ConnectBindError, error.UserError)
-        self.report_end(events.UNSENT if local_failure else events.UNREACHABLE)
+        result = events.UNSENT if local_failure else events.UNREACHABLE
+        self.report_end(result, EndReason.CONNECT_FAILED)
 
     def result_if_broken(self) -> str:
         """Return the result if the connection breaks now: after the last byte the request may have run."""
         return events.RESET if self.stage >= AttemptStage.WRITTEN else events.UNREACHABLE
 
-    def report_end(self, result: str) -> None:
+    def report_end(self, result: str, reason: EndReason) -> None:
         """Report the end, once."""
         if self.stage != AttemptStage.OVER:
             self._mark_over()
-            self.put(AttemptEnded(self.flow_id, self, result))
+            self.put(AttemptEnded(self.flow_id, self, result, reason))
 
     def _mark_over(self) -> None:
         """Record the final stage; nothing is reported any more."""
@@ -303,15 +313,19 @@
 
     def downstream_half_closed(self, rest: bytes) -> None:
         """The client has stopped sending after `rest`: so do we, and no later end is the server's fault."""
-        self.connection.result_if_closed = events.CANCELLED
+        self._mark_downstream_left()
         self.connection.transport.write(rest)
         self.connection.half_close()
 
     def downstream_lost(self) -> None:
         """The client's connection broke: so does the server's, which is not at fault."""
-        self.connection.result_if_closed = events.CANCELLED
+        self._mark_downstream_left()
         self.connection.transport.abortConnection()
 
+    def _mark_downstream_left(self) -> None:
+        self.connection.result_if_closed = events.CANCELLED
+        self.connection.downstream_left = True
+
     def close_after_migration(self) -> None:
         """Close because the client was told to migrate; nothing is reported any more."""
         self._mark_over()
--- a/lotusroute/routing/director.py
+++ b/lotusroute/routing/director.py
@@ -105,8 +105,8 @@
     def _attempt(self, flow: FlowState) -> None:
         """Connect a flow to a server, or reject it."""
         server = retries.next_server(self.state, flow)
-        if server is None:
-            self.state.actions.append(retries.final_answer(self.state, flow))
+        if isinstance(server, events.RejectReason):
+            self.state.actions.append(retries.final_answer(self.state, flow, server))
             self.state.remove_flow(flow)
             return
         timeout = retries.attempt_timeout(self.state, flow)
--- a/lotusroute/routing/events.py
+++ b/lotusroute/routing/events.py
@@ -4,6 +4,7 @@
 strings of closed sets appear in logs, so they stay as they are whatever their constants are called.
 """
 
+from enum import StrEnum
 from typing import Final, Literal, NamedTuple
 
 # What a flow of a service type may do if it runs twice.
@@ -159,17 +160,28 @@
     within: float = 0.0  # ms, the attempt's timeout; 0 means until the client's deadline
 
 
+class RejectReason(StrEnum):
+    """Why a flow gets no further attempt; the values are in the log."""
+
+    ATTEMPTS_EXHAUSTED = "no attempt left"
+    DEADLINE_PASSED = "deadline passed"
+    THROTTLED = "most connects fail"
+    NO_FIT_SERVER = "no fit server"
+
+
 class Reject(NamedTuple):
     """Answer the client that a retry is harmless; the final answer."""
 
     id: int
-    retry_after: float = 0.0  # ms to wait before it
+    retry_after: float  # ms to wait before it
+    reason: RejectReason
 
 
 class Abort(NamedTuple):
     """Answer the client with an error, as a retry might run the flow twice; the final answer."""
 
     id: int
+    reason: RejectReason
 
 
 class Migrate(NamedTuple):
--- a/lotusroute/routing/retries.py
+++ b/lotusroute/routing/retries.py
@@ -26,12 +26,15 @@
     state.spill_depth = OVERLOADED_SPILL_DEPTH if overloaded else SPILL_DEPTH
 
 
-def next_server(state: RoutingState, flow: FlowState) -> ServerState | None:
-    """Return the server of a flow's next attempt, or None if there is none."""
-    attempts_left = len(flow.attempted) < state.config.max_attempts
-    if attempts_left and state.now < flow.request.deadline and not _throttled(state, flow.request):
-        return _select_server(state, flow)
-    return None
+def next_server(state: RoutingState, flow: FlowState) -> ServerState | events.RejectReason:
+    """Return the server of a flow's next attempt, or why there is none."""
+    if len(flow.attempted) >= state.config.max_attempts:
+        return events.RejectReason.ATTEMPTS_EXHAUSTED
+    if state.now >= flow.request.deadline:
+        return events.RejectReason.DEADLINE_PASSED
+    if _throttled(state, flow.request):
+        return events.RejectReason.THROTTLED
+    return _select_server(state, flow) or events.RejectReason.NO_FIT_SERVER
 
 
 def _select_server(state: RoutingState, flow: FlowState) -> ServerState | None:
@@ -146,9 +149,11 @@
     return min(time_left / 2, ATTEMPT_TIMEOUT_TARGETS * target)
 
 
-def final_answer(state: RoutingState, flow: FlowState) -> events.Reject | events.Abort:
+def final_answer(
+    state: RoutingState, flow: FlowState, reason: events.RejectReason
+) -> events.Reject | events.Abort:
     """Return the answer to a flow that gets no further attempt."""
     service_type = state.config.service_types[flow.request.service_type]
     if service_type.safe_to_retry(flow.possibly_ran_on is not None):
-        return events.Reject(flow.request.id, min(state.config.max_retry_after, RETRY_AFTER))
-    return events.Abort(flow.request.id)
+        return events.Reject(flow.request.id, min(state.config.max_retry_after, RETRY_AFTER), reason)
+    return events.Abort(flow.request.id, reason)
--- a/tests/test_director.py
+++ b/tests/test_director.py
@@ -13,7 +13,7 @@
 
 
 def test_without_servers_a_flow_is_rejected_at_once():
-    assert FakeHost(0).request() == events.Reject(1, 1000.0)
+    assert FakeHost(0).request() == events.Reject(1, 1000.0, events.RejectReason.NO_FIT_SERVER)
 
 
 def test_a_restarted_server_warms_up_again_and_its_findings_are_reset():
--- a/tests/test_golden_bytes.py
+++ b/tests/test_golden_bytes.py
@@ -425,8 +425,8 @@
     "action, line",
     [
         (events.Connect(7, "s:80", 80.0), "pass_on 7 s:80 80.000"),
-        (events.Reject(7, 2.5), "not_now 7 2.500"),
-        (events.Abort(7), "abort 7"),
+        (events.Reject(7, 2.5, events.RejectReason.THROTTLED), "not_now 7 2.500"),
+        (events.Abort(7, events.RejectReason.NO_FIT_SERVER), "abort 7"),
         (events.Migrate(7), "relocate 7"),
         (events.SetTimer(1.5, "m"), "remind 1.500 m"),
         (events.Subscribe(), "listen 1"),
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -6,6 +6,7 @@
 from harness import FakeHost, actions_of
 
 from lotusroute.routing import events
+from lotusroute.routing.events import RejectReason
 
 
 def service_types(effect, dedup_scope="all"):
@@ -22,7 +23,10 @@
         ]
         assert len(actions) == 1
         connect = actions[0]
-    assert connect == events.Reject(1, 1000.0) and len(set(seen)) == len(seen) == 4
+    assert (
+        connect == events.Reject(1, 1000.0, RejectReason.ATTEMPTS_EXHAUSTED)
+        and len(set(seen)) == len(seen) == 4
+    )
     assert host.end(events.Connect(1, seen[-1]), events.TIMEOUT, True) == []
 
 
@@ -30,14 +34,16 @@
     host = FakeHost()
     connect = host.request()
     host.now += 1800.0
-    assert actions_of(events.Connect, host.end(connect, events.TIMEOUT)) == []
+    actions = host.end(connect, events.TIMEOUT)
+    assert actions_of(events.Connect, actions) == []
+    assert actions[-1].reason == RejectReason.DEADLINE_PASSED
     assert host.director.state.flows == {}
 
 
 def test_a_non_idempotent_flow_is_retried_only_if_it_never_ran():
     host = FakeHost(service_types=service_types(events.NON_IDEMPOTENT))
     second = actions_of(events.Connect, host.end(host.request(), events.FULL))[0]
-    assert host.end(second, events.TIMEOUT) == [events.Abort(1)]
+    assert host.end(second, events.TIMEOUT) == [events.Abort(1, RejectReason.NO_FIT_SERVER)]
 
 
 def test_a_flow_with_an_idempotency_key_is_retried_only_in_its_scope_and_window():
@@ -46,12 +52,12 @@
         first = host.request()
         second = actions_of(events.Connect, host.end(first, events.RESET))[0]
         assert int(second.server[1:]) % 2 == int(first.server[1:]) % 2
-        assert host.end(second, events.RESET)[-1] == events.Abort(1)
+        assert host.end(second, events.RESET)[-1] == events.Abort(1, RejectReason.NO_FIT_SERVER)
     host = FakeHost(service_types=service_types(events.IDEMPOTENCY_KEY))
     first = host.request()
     host.director.state.flows[1].request = host.director.state.flows[1].request._replace(deadline=9000.0)
     host.now = 5000.0
-    assert host.end(first, events.RESET) == [events.Reject(1, 1000.0)]
+    assert host.end(first, events.RESET) == [events.Reject(1, 1000.0, RejectReason.NO_FIT_SERVER)]
 
 
 def test_connects_are_throttled_while_most_fail_on_all_servers():
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -13,6 +13,7 @@
 
 from lotusroute.net.draining import MIGRATION_INTERVAL, BatchMigrator
 from lotusroute.net.endpoints import DRAIN_MIGRATION_SPREAD
+from lotusroute.net.reasons import MigrationReason
 
 
 def test_clients_of_two_servers_that_drain_at_once_are_all_migrated_in_time():
@@ -42,11 +43,12 @@
     migrated, steps = Counter(), int(DRAIN_MIGRATION_SPREAD / MIGRATION_INTERVAL)
     for seed in range(200):
         established = [types.SimpleNamespace(number=1)]
-        flows = types.SimpleNamespace(migrate=lambda _, established=established: established.clear())
+        flows = types.SimpleNamespace(migrate=lambda *_, established=established: established.clear())
         migrator = BatchMigrator(flows, random.Random(seed))
         for step in range(steps):
             before = len(established)
-            migrator.migrate_batch(established, DRAIN_MIGRATION_SPREAD - step * MIGRATION_INTERVAL)
+            time_left = DRAIN_MIGRATION_SPREAD - step * MIGRATION_INTERVAL
+            migrator.migrate_batch(established, time_left, MigrationReason.SERVER_DRAINS)
             migrated[step] += before - len(established)
     assert sum(migrated.values()) == 200 and max(migrated.values()) <= 3 * 200 / steps
 
