--- a/lotusroute/net/clock_monitor.py
+++ b/lotusroute/net/clock_monitor.py
@@ -30,7 +30,7 @@
 class ClockMonitor:
     """Compares the clocks, and a periodic timer with the time at which it was due.
 
-    `observe` is called on every input, so that what is wrong with the timers shows even where none fires.
+    `observe` is called for every batch of events, so that late timers show in the log before they fire.
     """
 
     def __init__(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,9 @@
 
 import pytest
 from harness import Balancer, FakeServer
+from wall_clock import SteppableWallClock
+
+collect_ignore = ["wall_clock_shim"]  # for the processes that tests start, not for pytest's own
 
 
 @pytest.fixture(scope="module")
@@ -9,3 +12,9 @@
     """A running balancer with one server, for tests that leave it as they found it."""
     with Balancer(FakeServer("s1")) as balancer:
         yield balancer
+
+
+@pytest.fixture
+def wall_clock(tmp_path):
+    """A wall clock that the test can step, for processes that it starts with its environment."""
+    return SteppableWallClock(tmp_path / "wall-clock-offset")
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -257,8 +257,13 @@
 
     def connect_and_send(self, line):
         """Connect and send a first line; returns the connection as a file."""
+        file = self.connect()
+        file.conn.sendall(line + b"\r\n")
+        return file
+
+    def connect(self):
+        """Connect and send nothing; returns the connection as a file."""
         conn = socket.create_connection(("127.0.0.1", self.port), timeout=DEADLINE)
-        conn.sendall(line + b"\r\n")
         file = conn.makefile("rwb", buffering=0)
         file.conn = conn
         return file
