--- a/benchmarks/sampled_days.py
+++ b/benchmarks/sampled_days.py
@@ -135,7 +135,7 @@
         folder = self.options.keep
         if folder is not None:
             folder.mkdir(parents=True, exist_ok=True)
-            (folder / f"{day.kind}-{day.seed}-{time.time_ns()}.txt").write_text(output)
+            (folder / f"{day.kind}-{day.seed}-{time.monotonic_ns()}.txt").write_text(output)
 
 
 def parse_arguments(arguments: list[str] | None) -> argparse.Namespace:
--- a/lotusroute/capacity/propagation_fleet.py
+++ b/lotusroute/capacity/propagation_fleet.py
@@ -7,7 +7,7 @@
 import pathlib
 import signal
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 from typing import Self
 
@@ -189,7 +189,7 @@
         for name, relay in self.relays.items():
             for line in relay.lines:
                 if "lease acquired" in line:
-                    acquired_at[name] = float(log_field(line, "time"))
+                    acquired_at[name] = float(log_field(line, "mono"))
                 elif "lease lost" in line:
                     acquired_at.pop(name, None)
         return max((timestamp, name) for name, timestamp in acquired_at.items())[1]
@@ -224,14 +224,8 @@
 
     def balancer_update_times(self, change: int) -> dict[str, float]:
         """When each balancer, the program itself, logged a change."""
-        # Logs hold the wall clock's time.
-        clock_offset = time.time() - time.monotonic()
-        times: dict[str, float] = {}
-        for name, balancer in self.balancers.items():
-            for line in balancer.lines:
-                if _logs_change(line, change):
-                    times.setdefault(name, float(log_field(line, "time")) - clock_offset)
-        return times
+        times = {name: change_time(balancer.lines, change) for name, balancer in self.balancers.items()}
+        return {name: logged_at for name, logged_at in times.items() if logged_at is not None}
 
     # Usage
 
@@ -261,6 +255,16 @@
         )
 
 
+def change_time(lines: Iterable[str], change: int) -> float | None:
+    """Return when a balancer's log has a change first, None where it has not.
+
+    >>> line = f'time=7.000 mono=12.500 level=debug event="endpoint update" server={CHANGED_HOST} cell=3'
+    >>> change_time([line], 3), change_time([line], 4)
+    (12.5, None)
+    """
+    return next((float(log_field(line, "mono")) for line in lines if _logs_change(line, change)), None)
+
+
 def _logs_change(line: str, change: int) -> bool:
     # The number of a change is logged in the field `cell`, which may be the last of the line.
     return (
--- a/lotusroute/fault_injection/processes.py
+++ b/lotusroute/fault_injection/processes.py
@@ -16,7 +16,7 @@
 import tempfile
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import NamedTuple, TypeVar
 
 from lotusroute.fault_injection.network_proxy import NetworkProxy
@@ -62,13 +62,16 @@
         lease_ms: float = 3_000.0,
         discovery_port: int = 0,
         log_level: str = "INFO",
+        environments: Mapping[str, Mapping[str, str]] | None = None,
     ) -> None:
+        """`environments` has further variables of single balancers, by name."""
         self.names = [f"n{number + 1}" for number in range(count)]
         self.acceptors = self.names[:acceptor_count]
         self.tasks = tasks
         self.lease_ms = lease_ms
         self.discovery_port = discovery_port or free_port()  # without a port given, nobody answers there
         self.log_level = log_level
+        self.environments = environments or {}
         self.records: list[LogRecord] = []  # in the order of reading; bounded by a scenario's duration
         self._records_changed = threading.Condition()
         self._folder = tempfile.TemporaryDirectory(prefix="lotusroute-fault-injection-")
@@ -107,6 +110,7 @@
             "LB_CONFIG": str(config_file),
             "LB_FLEET": self.fleet_file(name),
             "LB_LOG": self.log_level,
+            **self.environments.get(name, {}),
         }
         process = subprocess.Popen(
             [sys.executable, "-m", "lotusroute"], stderr=subprocess.PIPE, text=True, env=environment
--- a/tests/relay_harness.py
+++ b/tests/relay_harness.py
@@ -11,6 +11,8 @@
 
 from harness import DEADLINE, Balancer, FakeDiscovery, FakeHost, FakeServer, free_port, wait_until
 
+from lotusroute.capacity.processes import log_field
+
 RELAYS = ["r1", "r2", "r3"]  # all of them are acceptors of the lease
 ZONES = ["a", "b"]
 SERVERS = 4
@@ -74,8 +76,7 @@
                 if "lease acquired" in line or "lease lost" in line
             ]
             if events and "lease acquired" in events[-1]:
-                timestamp = events[-1].split("time=")[1][:14]
-                acquired.append((timestamp, name))
+                acquired.append((float(log_field(events[-1], "mono")), name))
         return max(acquired)[1] if acquired else None
 
     def balancer_file(self, zone):
--- a/tests/test_wall_clock.py
+++ b/tests/test_wall_clock.py
@@ -1,5 +1,7 @@
 """Steps of the wall clock change no deadline, wait or grace: these are spans of real time."""
 
+import signal
+import socket
 import time
 
 import pytest
@@ -62,3 +64,68 @@
         slow.write(b"d=1800\r\n")
         assert slow.readline() == b"UP r1\r\n"
         assert stuck.readline() == b"" and 1.8 < time.monotonic() - connected_at < 3.0
+
+
+@pytest.mark.parametrize("step", [-HOUR, HOUR])
+def test_a_drain_is_received_in_time_from_a_discovery_that_fell_silent_before_a_step(wall_clock, step):
+    one, two = FakeServer("s1", b"UP one\r\n"), FakeServer("s2", b"UP two\r\n")
+    with Balancer(one, env=wall_clock.environment) as balancer:
+        client = balancer.open_flow()
+        assert client.readline() == b"UP one\r\n"
+        balancer.discovery.interruptions += 1  # the long poll in flight is never answered
+        wall_clock.step(step)
+        changed_at = time.monotonic()
+        balancer.discovery.entries, balancer.discovery.seq = [one.entry("DRAINING"), two.entry()], 2
+        assert client.readline() == b"MOVE\r\n"
+        # 6 s, the grace of 2 s, and the second in which clients are migrated.
+        assert time.monotonic() - changed_at < 9.0
+        assert balancer.open_flow().readline() == b"UP two\r\n"
+
+
+def test_steps_are_counted_and_make_no_timer_late_and_no_poll_of_discovery_fail(wall_clock):
+    with Balancer(FakeServer("s1"), env=wall_clock.environment) as balancer:
+        for step in (HOUR, -HOUR, -20.0, 3.0):
+            wall_clock.step(step)
+            time.sleep(1.2)  # the clocks are compared once a second
+        log = balancer.terminate(signal.SIGTERM)
+    assert log.count('event="wall clock stepped"') == 4 and "wall_clock_steps=4" in log
+    assert not any(counter in log for counter in ("late_timers", "discovery_failures", "internal_errors"))
+
+
+@pytest.mark.parametrize("step", [-HOUR, HOUR])
+def test_a_shutdown_during_which_the_clock_is_stepped_migrates_all_and_ends_in_its_time(wall_clock, step):
+    with Balancer(FakeServer("s1"), env=wall_clock.environment) as balancer:
+        clients = [balancer.open_flow(str(index)) for index in range(20)]
+        assert {client.readline() for client in clients} == {b"UP r1\r\n"}
+        stopped_at = time.monotonic()
+        balancer.process.send_signal(signal.SIGTERM)
+        time.sleep(0.2)
+        wall_clock.step(step)
+        assert {client.readline() for client in clients} == {b"MOVE\r\n"}
+        assert {client.readline() for client in clients} == {b""}
+        assert balancer.process.wait(timeout=5.0) == 0
+        # Migrations begin 0.45 s after the signal and take 1.3 s; the last lines have 0.2 s to be written.
+        assert 0.9 < time.monotonic() - stopped_at < 3.0
+
+
+@pytest.mark.parametrize("step", [-HOUR, HOUR])
+def test_a_server_has_its_whole_grace_to_close_after_its_client_and_no_more(wall_clock, step):
+    server = FakeServer("s1")
+
+    def never_close(connection):
+        connection.recv(4096)
+        connection.sendall(b"UP r1\r\n")
+        while connection.recv(4096):
+            pass
+        time.sleep(6.0)
+
+    server.serve_connection = never_close
+    with Balancer(server, env=wall_clock.environment) as balancer:
+        client = balancer.open_flow()
+        assert client.readline() == b"UP r1\r\n"
+        left_at = time.monotonic()
+        client.conn.shutdown(socket.SHUT_WR)
+        time.sleep(0.2)
+        wall_clock.step(step)
+        assert client.readline() == b""
+        assert 1.8 < time.monotonic() - left_at < 3.0
--- /dev/null
+++ b/tests/test_wall_clock_fleet.py
@@ -0,0 +1,68 @@
+"""Leases, the shared endpoint list and relays when the wall clocks of their processes are stepped."""
+
+import signal
+import time
+
+import pytest
+from relay_harness import running_deployment
+from test_fleet import first_record, other_processes
+from wall_clock import SteppableWallClock
+
+from lotusroute.fault_injection.invariants import find_violations
+from lotusroute.fault_injection.processes import ProcessFleet
+
+HOUR = 3_600.0
+NAMES = ["n1", "n2", "n3"]
+
+
+@pytest.fixture
+def clocks(tmp_path):
+    """A wall clock for each process of a fleet."""
+    return {name: SteppableWallClock(tmp_path / name) for name in NAMES}
+
+
+@pytest.fixture
+def fleet(clocks):
+    environments = {name: dict(clock.environment) for name, clock in clocks.items()}
+    with ProcessFleet(len(NAMES), lease_ms=1_000.0, environments=environments) as fleet:
+        yield fleet
+
+
+@pytest.mark.parametrize("step", [-HOUR, HOUR])
+def test_a_lease_moves_on_in_time_when_its_holder_is_killed_after_a_step(fleet, clocks, step):
+    holder = fleet.wait_for_holder()
+    for clock in clocks.values():
+        clock.step(step)
+    time.sleep(0.5)
+    killed_at = time.monotonic()
+    fleet.kill(holder.process)
+    second = fleet.wait_for_holder(killed_at)
+    assert second.process != holder.process
+    assert second.time - killed_at < 1.0 + 0.5 + 0.5  # the lease, and one attempt
+    assert find_violations(fleet.records) == []
+
+
+@pytest.mark.parametrize("step", [-HOUR, HOUR])
+def test_a_holder_whose_clock_is_stepped_loses_its_lease_before_the_next_one_acquires_it(fleet, clocks, step):
+    holder = fleet.wait_for_holder()
+    others = other_processes(fleet, holder.process)
+    clocks[holder.process].step(step)
+    fleet.proxy.partition([holder.process], others)
+    second = fleet.wait_for_holder(holder.time, among=others)
+    lost = fleet.wait_for(lambda records: first_record(records, "lease lost", holder.process))
+    assert lost.fields["why"] == "expired"
+    assert lost.time < second.time + 0.25
+    assert find_violations(fleet.records) == []
+
+
+@pytest.mark.parametrize("step", [-HOUR, HOUR])
+def test_a_change_is_in_force_over_relays_within_four_seconds_of_a_step(tmp_path, monkeypatch, step):
+    clock = SteppableWallClock(tmp_path / "clock")
+    for name, value in clock.environment:
+        monkeypatch.setenv(name, value)
+    with running_deployment(tmp_path) as deployment:
+        clock.step(step)
+        origin = deployment.relays.origin()
+        deployment.relays.send_signal(origin, signal.SIGKILL)
+        changed_at = deployment.drain(1)
+        assert deployment.wait_until_drained(1, changed_at) < 4.0
