A server's start is bounded by what the process has seen, whatever the clocks say

Cause: slow start compares a server's start, Unix time of another machine, with our clock, which is read once at the start.

A start is not later than its receipt, and one that is news not more than 6 s older than the last list without it. Where the clocks agree it is as listed, so ordinary decisions are the same. start time bounded is logged and counted.

--- a/lotusroute/net/balancer.py
+++ b/lotusroute/net/balancer.py
@@ -10,6 +10,7 @@
 from lotusroute.net.admission import AdmissionControl
 from lotusroute.net.config import BalancerConfig
 from lotusroute.net.connection_monitor import CHECK_INTERVAL, ConnectionMonitor, PeriodicCheck
+from lotusroute.net.discovery import CHANGE_DEADLINE
 from lotusroute.net.downstream import DownstreamClosed, FlowRequested
 from lotusroute.net.draining import MIGRATION_INTERVAL, BatchMigrator, DrainStep, ServerDraining
 from lotusroute.net.endpoint_list import EndpointUpdate
@@ -24,6 +25,10 @@
 from lotusroute.net.upstream import AttemptEnded, LoadReported, ReceiptReceived, ReplyTimed
 from lotusroute.routing import events
 from lotusroute.routing.director import Director
+from lotusroute.routing.start_times import StartTimes
+from lotusroute.wall_clock import MS_PER_SECOND
+
+MIN_LOGGED_CORRECTION = 100.0  # ms by which a server's start is not as the endpoint list has it
 
 
 def _no_answers_owed() -> bool:
@@ -56,6 +61,7 @@
             self._endpoints,
             self._drain_timer,
         )
+        self._start_times = StartTimes(CHANGE_DEADLINE * MS_PER_SECOND)
         self._monitor = ConnectionMonitor(
             counters, self.loop, self.flow_manager, self.flow_table, director.slow_latency_threshold
         )
@@ -118,9 +124,21 @@
         self._monitor.retain_servers(self._endpoints.addresses.keys())
         if LOGGER.isEnabledFor(logging.DEBUG):
             _log_endpoints(event)
-        self.flow_manager.decide(events.EndpointList(event.scope, event.servers))
+        self.flow_manager.decide(events.EndpointList(event.scope, self._servers_of(event)))
         self.flow_manager.cancel_unavailable_attempts()
 
+    def _servers_of(self, update: EndpointUpdate) -> tuple[events.Server, ...]:
+        """Return the servers of an update with their starts on our clock."""
+        now = self.clock()
+        previous = update.previous_list_at
+        previous_list_at = None if previous is None else self.loop.at_monotonic(previous)
+        servers = tuple(self._start_times.bound(server, now, previous_list_at) for server in update.servers)
+        for server, reported in zip(servers, update.servers, strict=True):
+            if abs(server.started - reported.started) >= MIN_LOGGED_CORRECTION:
+                self._counters["start_times_bounded"] += 1
+                log_event("start time bounded", server=server.id, by=server.started - reported.started)
+        return servers
+
     def _drain_step(self, _: DrainStep) -> None:
         """Migrate the next clients whose server, or whose balancer, leaves."""
         self._drain_timer.acknowledge()
--- a/lotusroute/net/discovery.py
+++ b/lotusroute/net/discovery.py
@@ -103,6 +103,8 @@
         self.update_interval = CHANGE_DEADLINE + grace_ms / 1000 - TIMING_MARGIN
         # When the list was last known to be current: the last complete response, or the start.
         self.as_of = reactor.seconds()
+        # When the list that `put` has was last known to be current: the last complete response; None before.
+        self.list_current_at: float | None = None
         self._set_timeouts(grace_ms)
         self.pool = HTTPConnectionPool(reactor)
         self.agent = Agent(reactor, connectTimeout=REQUEST_TIMEOUT, pool=self.pool)
@@ -184,8 +186,10 @@
         return result
 
     def _put_update(self, update: EndpointUpdate) -> None:
+        previous_list_at = self.list_current_at
+        self.list_current_at = reactor.seconds()
         if update.servers or update.scope == events.COMPLETE:
-            self.put(update)
+            self.put(update._replace(previous_list_at=previous_list_at))
 
     def _report_first_response(self) -> None:
         """Call `on_first_response`, once: an update has come, or a poll has failed."""
--- a/lotusroute/net/endpoint_list.py
+++ b/lotusroute/net/endpoint_list.py
@@ -27,6 +27,9 @@
     scope: str  # a scope of `routing.events`
     servers: tuple[events.Server, ...]
     dials: dict[str, tuple[str, int]]
+    # s of the monotonic clock at which the list before this update was last known to be current; None where
+    # there was none
+    previous_list_at: float | None = None
 
 
 def parse_endpoint_list(message: dict, scope: str, counters: Counter | None = None) -> EndpointUpdate:
--- a/lotusroute/net/event_loop.py
+++ b/lotusroute/net/event_loop.py
@@ -41,6 +41,10 @@
         """Milliseconds of Unix time, never going back."""
         return self.epoch + monotonic_ms()
 
+    def at_monotonic(self, seconds: float) -> float:
+        """Return the time on this clock of a reading of `time.monotonic`."""
+        return self.epoch + seconds * wall_clock.MS_PER_SECOND
+
     def register(self, handlers: Mapping[type, Callable[[Any], None]]) -> None:
         """Add handlers, by the type of the events that they take."""
         self._handlers.update(handlers)
