--- a/lotusroute/adapter/wire.py
+++ b/lotusroute/adapter/wire.py
@@ -94,7 +94,17 @@
 
 def _parse_flow(values: list[str]) -> events.Flow:
     flow, service_type, tenant, group, flag_bits, key, _hint, deadline = values
-    flags = parse_integer(flag_bits)
+    return _make_flow(flow, service_type, tenant, group, key, deadline, parse_integer(flag_bits))
+
+
+def _parse_existing_connection(values: list[str]) -> events.ExistingConnection:
+    flow, service_type, tenant, key, deadline, _hint, group, _flags, server = values
+    return events.ExistingConnection(_make_flow(flow, service_type, tenant, group, key, deadline), server)
+
+
+def _make_flow(
+    flow: str, service_type: str, tenant: str, group: str, key: str, deadline: str, flags: int = 0
+) -> events.Flow:
     return events.Flow(
         parse_integer(flow),
         service_type,
@@ -107,21 +117,6 @@
     )
 
 
-def _parse_existing_connection(values: list[str]) -> events.ExistingConnection:
-    flow, service_type, tenant, key, deadline, _hint, group, _flags, server = values
-    return events.ExistingConnection(
-        events.Flow(
-            parse_integer(flow),
-            service_type,
-            parse_optional(tenant),
-            parse_optional(group),
-            parse_optional(key),
-            parse_number(deadline),
-        ),
-        server,
-    )
-
-
 def _parse_established(values: list[str]) -> events.Established:
     flow, _attempt, server, _latency = values
     return events.Established(parse_integer(flow), server)
@@ -197,21 +192,24 @@
     return event_format.parse(values)
 
 
-ACTION_FORMATS = {
-    events.Connect: lambda a: f"pass_on {a.id} {a.server} {a.within:.3f}",
-    events.Reject: lambda a: f"not_now {a.id} {a.retry_after:.3f}",
-    events.Abort: lambda a: f"abort {a.id}",
-    events.Migrate: lambda a: f"relocate {a.id}",
-    events.SetTimer: lambda a: f"remind {a.delay:.3f} {a.mark}",
-    events.Subscribe: lambda a: "listen 1",
-    events.OutlierEjected: lambda a: f"remark set aside {a.server}",
-}
-
-
 def format_action(action: events.Action) -> str:
     """Format one action as a line.
 
     >>> format_action(events.Connect(7, "10.0.0.1:80", 80.0))
     'pass_on 7 10.0.0.1:80 80.000'
     """
-    return ACTION_FORMATS[type(action)](action)
+    match action:
+        case events.Connect():
+            return f"pass_on {action.id} {action.server} {action.within:.3f}"
+        case events.Reject():
+            return f"not_now {action.id} {action.retry_after:.3f}"
+        case events.Abort():
+            return f"abort {action.id}"
+        case events.Migrate():
+            return f"relocate {action.id}"
+        case events.SetTimer():
+            return f"remind {action.delay:.3f} {action.mark}"
+        case events.Subscribe():
+            return "listen 1"
+        case events.OutlierEjected():
+            return f"remark set aside {action.server}"
