Bounded starts in one log line a list; tests give each worker ports of its own

Need: with a wrong clock every server of a list was a log line. And the suite failed once (test_startup, discovery up): one of ten processes had ended by itself while it started on a tenth of a core. Likely: ports were given out at random to programs that take seconds to bind them; worked out, 2.6% of such starts meet a port in use beside seven workers.

Change: start times bounded names the number of servers and the one that differs most. free_port gives each worker its own part of the range and no port twice in a row of 1,000; test_startup asserts on the logs of processes that ended, so that the next failure shows them.

--- a/lotusroute/net/balancer.py
+++ b/lotusroute/net/balancer.py
@@ -124,21 +124,34 @@
         self._monitor.retain_servers(self._endpoints.addresses.keys())
         if LOGGER.isEnabledFor(logging.DEBUG):
             _log_endpoints(event)
-        self.flow_manager.decide(events.EndpointList(event.scope, self._servers_of(event)))
+        self.flow_manager.decide(events.EndpointList(event.scope, self._bound_starts(event)))
         self.flow_manager.cancel_unavailable_attempts()
 
-    def _servers_of(self, update: EndpointUpdate) -> tuple[events.Server, ...]:
+    def _bound_starts(self, update: EndpointUpdate) -> tuple[events.Server, ...]:
         """Return the servers of an update with their starts on our clock."""
         now = self.clock()
         previous = update.previous_list_at
         previous_list_at = None if previous is None else self.loop.at_monotonic(previous)
         servers = tuple(self._start_times.bound(server, now, previous_list_at) for server in update.servers)
-        for server, reported in zip(servers, update.servers, strict=True):
-            if abs(server.started - reported.started) >= MIN_LOGGED_CORRECTION:
-                self._counters["start_times_bounded"] += 1
-                log_event("start time bounded", server=server.id, by=server.started - reported.started)
+        self._report_bounded_starts(update.servers, servers)
         return servers
 
+    def _report_bounded_starts(
+        self, reported: tuple[events.Server, ...], bounded: tuple[events.Server, ...]
+    ) -> None:
+        """Log, in one line for a whole list, starts that differ: a wrong clock of ours concerns them all."""
+        corrections = {
+            after.id: after.started - before.started
+            for before, after in zip(reported, bounded, strict=True)
+            if abs(after.started - before.started) >= MIN_LOGGED_CORRECTION
+        }
+        if corrections:
+            self._counters["start_times_bounded"] += len(corrections)
+            largest = max(corrections, key=lambda server_id: abs(corrections[server_id]))
+            log_event(
+                "start times bounded", servers=len(corrections), server=largest, by=corrections[largest]
+            )
+
     def _drain_step(self, _: DrainStep) -> None:
         """Migrate the next clients whose server, or whose balancer, leaves."""
         self._drain_timer.acknowledge()
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -108,6 +108,10 @@
 }
 DEADLINE = 10.0  # s for anything that a test waits for
 PORT_RNG = random.SystemRandom()
+WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+WORKER_COUNT = int(os.environ.get("PYTEST_XDIST_WORKER_COUNT", "1"))
+PORTS = range(10_000, 32_000)[WORKER::WORKER_COUNT]
+GIVEN_PORTS = collections.deque(maxlen=1_000)  # lately, to programs that may still be starting
 
 
 class FakeServer:
@@ -195,12 +199,16 @@
 def free_port():
     """A port for a program that is still to start.
 
-    It is below the range that the system assigns by itself, so no fake of another test gets it meanwhile.
+    It is below the range that the system assigns by itself, in a part of it that belongs to this worker of
+    pytest alone, and was not given out lately: no fake and no other program gets it meanwhile. Programs that
+    take seconds to start found their port in use otherwise, and ended.
     """
     while True:
-        address = "127.0.0.1", PORT_RNG.randrange(10_000, 32_000)
-        with contextlib.suppress(OSError), socket.create_server(address) as free:
-            return free.getsockname()[1]
+        port = PORT_RNG.choice(PORTS)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            if port not in GIVEN_PORTS:
+                GIVEN_PORTS.append(port)
+                return port
 
 
 class Balancer:
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -1,5 +1,6 @@
 """Starts of servers on the host's clock, whatever the wall clock says."""
 
+import signal
 import time
 
 import pytest
@@ -111,3 +112,7 @@
             time.sleep(0.02)
         # Each flow wants the new server with a probability of a half: a right clock lets a few in.
         assert 1 <= len(new.connections) <= 0.25 * (len(clients) - 40)
+        log = balancer.terminate(signal.SIGTERM)
+    expected = 0 if step == 0.0 else 1
+    assert log.count('event="start times bounded" servers=1 server=new') == expected
+    assert ("start_times_bounded=1" in log) == bool(expected)
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -95,4 +95,5 @@
             time.sleep(0.05)
         in_time = [elapsed for elapsed, _ in ready.values() if elapsed < READY_WITHIN]
         assert len(in_time) >= 0.9 * PROCESSES, ready
-        assert all(balancer.process.poll() is None for balancer in balancers)
+        ended = [balancer.terminate() for balancer in balancers if balancer.process.poll() is not None]
+        assert ended == []  # the logs of processes that ended by themselves
