Read again: one monotonic_ms for the event loop, leases and relays

Found: the change wrote monotonic_ms in net/clock_monitor.py, while LeaseService.clock and Subscription.clock had the same line with a bare 1000, and the event loop took the unit of its spans from wall_clock. Behaviour is as it was.

Looked at and left: the two pairs that duplicates names are enumerations of different reasons; downstream_left cannot be derived from result_if_closed, which a server's MOVE sets as well; list_current_at is not as_of, which a silent discovery moves on; the clocks are compared for every batch of events, two readings, so that late timers show before they fire.

--- a/lotusroute/fleet/lease_service.py
+++ b/lotusroute/fleet/lease_service.py
@@ -8,7 +8,6 @@
 import math
 import os
 import random
-import time
 from collections import Counter
 from collections.abc import Callable
 from typing import Any
@@ -40,6 +39,7 @@
     Tick,
 )
 from lotusroute.leases.proposer import Proposer, ProposerState
+from lotusroute.monotonic_clock import monotonic_ms
 from lotusroute.net.structured_log import log_event
 
 RELEASED_CALL = "freed"  # the kind of the call that notifies a waiting proposer of a release
@@ -106,10 +106,7 @@
             raise ConfigError(f"LB_FLEET: state: '{state_dir}' is no folder, and a keeper needs one")
         return Acceptor(self.config.terms, self.clock(), acceptor_storage.load(state_dir))
 
-    @staticmethod
-    def clock() -> float:
-        """Return the monotonic time in milliseconds."""
-        return time.monotonic() * 1000
+    clock = staticmethod(monotonic_ms)
 
     def start(self) -> "defer.Deferred[None]":
         """Connect to the acceptors and request the configured tasks; the result is that of listening."""
--- a/lotusroute/net/balancer.py
+++ b/lotusroute/net/balancer.py
@@ -7,6 +7,7 @@
 import random
 from collections.abc import Callable
 
+from lotusroute.monotonic_clock import MS_PER_SECOND
 from lotusroute.net.admission import AdmissionControl
 from lotusroute.net.config import BalancerConfig
 from lotusroute.net.connection_monitor import CHECK_INTERVAL, ConnectionMonitor, PeriodicCheck
@@ -26,7 +27,6 @@
 from lotusroute.routing import events
 from lotusroute.routing.director import Director
 from lotusroute.routing.start_times import StartTimes
-from lotusroute.wall_clock import MS_PER_SECOND
 
 MIN_LOGGED_CORRECTION = 100.0  # ms by which a server's start is not as the endpoint list has it
 
--- a/lotusroute/net/clock_monitor.py
+++ b/lotusroute/net/clock_monitor.py
@@ -7,21 +7,16 @@
 
 import logging
 import math
-import time
 from collections.abc import Callable
 
 from lotusroute import wall_clock
+from lotusroute.monotonic_clock import monotonic_ms
 from lotusroute.net.structured_log import Counters, log_event
 
 MIN_STEP = 100.0  # ms of change of the wall clock that is reported; slewing changes it by less between looks
 MAX_TIMER_DELAY = 1_000.0  # ms of delay from which the periodic timer is reported as late
 
 
-def monotonic_ms() -> float:
-    """Return the monotonic clock."""
-    return time.monotonic() * wall_clock.MS_PER_SECOND
-
-
 class ClockMonitor:
     """Compares the clocks, and a periodic timer with the time at which it was due.
 
--- a/lotusroute/net/event_loop.py
+++ b/lotusroute/net/event_loop.py
@@ -14,7 +14,8 @@
 from twisted.internet.base import DelayedCall
 
 from lotusroute import wall_clock
-from lotusroute.net.clock_monitor import ClockMonitor, monotonic_ms
+from lotusroute.monotonic_clock import MS_PER_SECOND, monotonic_ms
+from lotusroute.net.clock_monitor import ClockMonitor
 from lotusroute.net.structured_log import Counters, log_exception
 
 
@@ -43,7 +44,7 @@
 
     def at_monotonic(self, seconds: float) -> float:
         """Return the time on this clock of a reading of `time.monotonic`."""
-        return self.epoch + seconds * wall_clock.MS_PER_SECOND
+        return self.epoch + seconds * MS_PER_SECOND
 
     def register(self, handlers: Mapping[type, Callable[[Any], None]]) -> None:
         """Add handlers, by the type of the events that they take."""
@@ -58,7 +59,7 @@
 
     def call_later(self, delay: float, event: object) -> DelayedCall:
         """Queue an event after `delay` ms."""
-        return reactor.callLater(max(0.0, delay) / wall_clock.MS_PER_SECOND, self.put, event)
+        return reactor.callLater(max(0.0, delay) / MS_PER_SECOND, self.put, event)
 
     def run_pending(self) -> None:
         """Dispatch queued events until none is left, those that handlers add included."""
--- a/lotusroute/relay/subscription.py
+++ b/lotusroute/relay/subscription.py
@@ -7,7 +7,6 @@
 import math
 import os
 import random
-import time
 from collections import Counter
 from typing import Any
 
@@ -18,6 +17,7 @@
 from lotusroute.fleet.peer_connection import CallError
 from lotusroute.fleet.transport import PeerTransport
 from lotusroute.leases.messages import LeaseTerms
+from lotusroute.monotonic_clock import monotonic_ms
 from lotusroute.net.discovery import MIN_REJECTION_BACKOFF, QUEUE_TIMEOUT
 from lotusroute.net.discovery_source import DiscoveryClient
 from lotusroute.net.structured_log import log_event
@@ -55,10 +55,7 @@
         self.pending_wait: defer.Deferred | None = None
         self.polling = False  # this balancer polls discovery by itself for now
 
-    @staticmethod
-    def clock() -> float:
-        """Return the monotonic clock, in milliseconds."""
-        return time.monotonic() * 1000
+    clock = staticmethod(monotonic_ms)
 
     def start(self) -> None:
         """Start to subscribe; calls itself again on every tick."""
--- a/lotusroute/wall_clock.py
+++ b/lotusroute/wall_clock.py
@@ -7,7 +7,7 @@
 
 import time
 
-MS_PER_SECOND = 1000
+from lotusroute.monotonic_clock import MS_PER_SECOND
 
 
 def unix_ms() -> float:
