--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,7 +13,7 @@
 from stand_ins_2 import HOST, TROUBLE
 
 SERVERS = 8
-LINES = 150  # commands that the client sends at once, 3.5 kB each
+LINES = 200  # commands that the client sends at once, 3.5 kB each
 LINE = b"SCAN %06d " + b"x" * 3500 + b"\r\n"
 WORK_S = 0.003  # a server's work for a line
 SLOWER = 9.0  # the disruption: one of eight servers is so many times slower (up to 9.1 times are named)
