--- a/review/7/case.py
+++ b/review/7/case.py
@@ -13,11 +13,12 @@
 from stand_ins_2 import HOST, TROUBLE
 
 SERVERS = 8
-LINES = 200  # commands that the client sends at once, 3.5 kB each
+LINES = 300  # commands that the client sends at once, 3.5 kB each
 LINE = b"SCAN %06d " + b"x" * 3500 + b"\r\n"
-WORK_S = 0.003  # a server's work for a line
+WORK_S = 0.002  # a server's work for a line
 SLOWER = 9.0  # the disruption: one of eight servers is so many times slower (up to 9.1 times are named)
 SECONDS = 40
+TOO_SLOW_S = 1.5  # without the disruption the flow takes some 0.5 s
 
 
 class ScanServer:
@@ -124,6 +125,8 @@
         time.sleep(0.05)
     record(f"{server.name}: {server.read} of {LINES} lines read, {server.done} answered, ended {server.end or 'not at all'}", echo=True)
     connection.close()
+    if not TROUBLE and time.monotonic() - started > TOO_SLOW_S:
+        raise RuntimeError("the machine was too busy for a server at its usual speed")
     if server.read < LINES and end != "by MOVE":
         record("BROKEN: lines that the client sent before its end never reached the server, which still answered", echo=True)
         return False
