Requests during the start are read at once and answered within their own time

A process that was suspended gave requests whose time had passed to servers.

Change: connections are read from the start; StartupGate holds requests and health checks until the list is current, a request for its own time at most. One whose time is over is answered BUSY.

--- a/lotusroute/__main__.py
+++ b/lotusroute/__main__.py
@@ -44,7 +44,7 @@
 from lotusroute.net import config, structured_log
 from lotusroute.net.balancer import BalancerCore
 from lotusroute.net.discovery_session import DiscoverySession, parse_cached_list
-from lotusroute.net.listener import DownstreamFactory, Listener
+from lotusroute.net.listener import BalancerHooks, DownstreamFactory, Listener
 from lotusroute.net.reactor import reactor
 
 if TYPE_CHECKING:
@@ -54,7 +54,6 @@
 # of collections of the younger generation, after which one is collected. The youngest is collected once every
 # few hundred flows.
 GC_THRESHOLDS = (5_000, 20, 20)
-FIRST_RESPONSE_TIMEOUT_S = 1.0  # how long the listener waits for discovery's first response
 LISTEN_BACKLOG = 1024  # room for all clients of a failed peer, which reconnect at the same time
 EXIT_START_FAILED = 2
 
@@ -62,7 +61,6 @@
 class Balancer(NamedTuple):
     """The components of a running balancer that signal handlers use."""
 
-    listener: Listener
     session: DiscoverySession
     # Finishes and migrates all flows, then calls its argument.
     shut_down: Callable[[Callable[[], None]], None]
@@ -96,9 +94,8 @@
     structured_log.configure_logging(balancer_config.log_level)
     core = BalancerCore(balancer_config, counters)
     core.enqueue(cached_list)
-    downstream = DownstreamFactory(
-        core.enqueue, core.clock, core.ready, balancer_config.sockets, counters, core.lingering_upstreams
-    )
+    hooks = BalancerHooks(core.enqueue, core.clock, core.ready, core.when_serving, core.loop.input_since)
+    downstream = DownstreamFactory(hooks, balancer_config.sockets, counters, core.lingering_upstreams)
     listener = open_listener(balancer_config.listen, downstream)
 
     def apply_limits(new: config.BalancerConfig) -> None:
@@ -109,8 +106,8 @@
     core.has_pending_answers = partial(downstream.accept_pending, listener)
     core.has_undelivered_data = downstream.has_undelivered_data
     core.request_complete_list = session.request_complete_list
-    follow_discovery(session, listener)
-    return Balancer(listener, session, core.stop)
+    reactor.callWhenRunning(session.follow, core.serving_started)
+    return Balancer(session, core.stop)
 
 
 def open_listener(address: Address, downstream: DownstreamFactory) -> Listener:
@@ -123,17 +120,6 @@
     return listener
 
 
-def follow_discovery(session: DiscoverySession, listener: Listener) -> None:
-    """Follow discovery once the reactor runs; accept clients after its first response or a timeout.
-
-    The cached list may be outdated, but changes that discovery had before this process started count as
-    received: even the first flows must not be sent to servers that have drained.
-    """
-    listener.stopReading()
-    reactor.callLater(FIRST_RESPONSE_TIMEOUT_S, listener.startReading)
-    reactor.callWhenRunning(session.follow, listener.startReading)
-
-
 def start_optional_services(
     session: DiscoverySession, counters: structured_log.Counters
 ) -> "LeaseService | None":
@@ -213,7 +199,6 @@
 
 def shut_down(balancer: Balancer, fleet: "LeaseService | None") -> None:
     """Release the fleet's leases, finish and migrate all flows and stop the reactor."""
-    balancer.listener.startReading()
     if fleet is not None:
         fleet.stop()
     balancer.shut_down(stop_reactor)
--- a/lotusroute/net/balancer.py
+++ b/lotusroute/net/balancer.py
@@ -23,6 +23,7 @@
 from lotusroute.net.lingering_upstreams import LingeringUpstreams
 from lotusroute.net.poll_schedule import MAX_UPDATE_DELAY_S
 from lotusroute.net.shutdown import GracefulShutdown, PendingWork
+from lotusroute.net.startup_gate import StartupGate
 from lotusroute.net.structured_log import LOGGER, Counters, log_event
 from lotusroute.net.upstream_events import ReplyTimed
 from lotusroute.routing import events
@@ -79,11 +80,15 @@
         pending_work = PendingWork(self._has_pending_answers, self._has_undelivered_data)
         self._shutdown = GracefulShutdown(context, endings, self._admission, migrator, pending_work)
         self.loop.on_failure = self._recover
+        self._gate = StartupGate(self.loop, self.flow_manager.requests)
+        self.serving_started = self._gate.open
+        self.when_serving = self._gate.when_open
         self._register_handlers()
         self._monitor.start()
 
     def _register_handlers(self) -> None:
         self.loop.register(self.flow_manager.handlers())
+        self.loop.register(self._gate.handlers())
         self.loop.register(
             {
                 ReplyTimed: self._monitor.reply_timed,
@@ -110,6 +115,7 @@
     def stop(self, on_stopped: Callable[[], None]) -> None:
         """Finish the flows in flight and migrate all clients, then call `on_stopped`."""
         self._shutdown.start(on_stopped)
+        self._gate.open()
 
     def _endpoints_updated(self, update: EndpointUpdate) -> None:
         """Apply a list, or changes to it, to the connections and the routing decisions."""
--- a/lotusroute/net/discovery.py
+++ b/lotusroute/net/discovery.py
@@ -113,10 +113,10 @@
             if self.closed:
                 # A late response from an old address must not be applied after updates from the new one.
                 return
-            self._report_first_response()
             if isinstance(result, EndpointUpdate):
                 self._enqueue_update(result)
-            else:
+            self._report_first_response()
+            if isinstance(result, DiscoveryFailed):
                 await self._back_off(result)
 
     def apply_shared_update(self, message: EndpointListMessage, since: int | None) -> bool:
--- a/lotusroute/net/downstream.py
+++ b/lotusroute/net/downstream.py
@@ -46,6 +46,9 @@
     clock: Callable[[], float]
     # Returns whether flows can be served. A health check is answered PONG if so, else BUSY.
     ready: Callable[[], bool]
+    # Calls a function once flows may be decided: at once, except during the start.
+    when_serving: Callable[[Callable[[], None]], None]
+    input_since: Callable[[], float]  # returns since when what is read now may have been there
     counters: Counter[str]
 
     def admit(self, connection: "DownstreamConnection") -> None:
@@ -72,7 +75,10 @@
     # Such data is read all the same, because a disconnect goes unnoticed behind unread data.
     MAX_BUFFERED = 4 * MAX_LINE_LENGTH
 
-    def __init__(self) -> None:
+    def __init__(self, accepted_at: float = 0.0, accepted_since: float = 0.0) -> None:
+        """The connection was accepted at `accepted_at`; its client connected at `accepted_since` or later."""
+        self._accepted_at = accepted_at
+        self._accepted_since = accepted_since
         self.flow_number = 0  # the number of the connection's flow, or 0 while it has none
         self.upstream: UpstreamAttempt | None = None  # the flow's attempt while the flow is established
         self.answered = False
@@ -108,12 +114,20 @@
             return
         elif line == PING + LINE_END and self.health_check_count < MAX_HEALTH_CHECKS:
             self.health_check_count += 1
-            self.transport.write((PONG if self.factory.ready() else BUSY) + LINE_END)
+            self.factory.when_serving(self._answer_health_check)
         else:
             self._request_flow(line)
 
+    def _answer_health_check(self) -> None:
+        self.transport.write((PONG if self.factory.ready() else BUSY) + LINE_END)
+
+    def _arrived_since(self) -> float:
+        """Return the earliest time at which the data that is being read may have arrived."""
+        input_since = self.factory.input_since()
+        return input_since if input_since > self._accepted_at else self._accepted_since
+
     def _request_flow(self, line: memoryview) -> None:
-        now = self.factory.clock()
+        received_at = self._arrived_since()
         try:
             request = parse_open_request(bytes(line))
         except ProtocolError:
@@ -124,7 +138,7 @@
         self.setTimeout(None)
         self.factory.mark_active(self)
         self.factory.counters["flows"] += 1
-        self.factory.enqueue(RequestReceived(self, request, now))
+        self.factory.enqueue(RequestReceived(self, request, received_at))
 
     def reject_malformed(self) -> None:
         """Answer a line that cannot be parsed, or that admission control finds malformed."""
--- a/lotusroute/net/downstream_events.py
+++ b/lotusroute/net/downstream_events.py
@@ -12,7 +12,7 @@
 
     connection: "DownstreamConnection"
     request: "OpenRequest"
-    received_at: float  # the time of the event loop's clock at which the line was read
+    received_at: float  # the earliest time of the event loop's clock at which the line may have arrived
 
     @property
     def flow_number(self) -> int:
--- a/lotusroute/net/event_loop.py
+++ b/lotusroute/net/event_loop.py
@@ -52,6 +52,10 @@
         """Convert a reading of `time.monotonic`, which is in seconds, to the time of `clock`."""
         return self.clock_offset + seconds * MS_PER_SECOND
 
+    def input_since(self) -> float:
+        """Return the earliest time at which the input that is being read may have arrived."""
+        return self.at_monotonic(reactor.input_since())
+
     def register(self, handlers: Handlers) -> None:
         """Add handlers, keyed by the type of the events that they take."""
         self._handlers.update(handlers)
--- a/lotusroute/net/flow_manager.py
+++ b/lotusroute/net/flow_manager.py
@@ -3,7 +3,7 @@
 from lotusroute.net.admission import AdmissionControl
 from lotusroute.net.balancer_context import BalancerContext
 from lotusroute.net.decisions import DecisionExecutor
-from lotusroute.net.downstream_events import DownstreamClosed, RequestReceived
+from lotusroute.net.downstream_events import DownstreamClosed
 from lotusroute.net.event_loop import Handlers
 from lotusroute.net.existing_connections import RetryExisting
 from lotusroute.net.final_answers import FinalAnswers
@@ -32,7 +32,6 @@
     def handlers(self) -> Handlers:
         """Return the handler of each type of event about flows."""
         return {
-            RequestReceived: self.requests.request_received,
             ReceiptReceived: self.attempts.receipt_received,
             AttemptEnded: self.attempts.attempt_ended,
             AttemptTimedOut: self.attempts.attempt_timed_out,
--- a/lotusroute/net/listener.py
+++ b/lotusroute/net/listener.py
@@ -8,6 +8,7 @@
 
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from twisted.internet import tcp
 from twisted.internet.interfaces import IAddress
@@ -27,6 +28,17 @@
 MIN_RESERVED_DESCRIPTORS = 32
 
 
+@dataclass(frozen=True, slots=True)
+class BalancerHooks:
+    """What downstream connections use of the balancer; see `ConnectionManager`."""
+
+    enqueue: Callable[[object], None]
+    clock: Callable[[], float]
+    ready: Callable[[], bool]
+    when_serving: Callable[[Callable[[], None]], None]
+    input_since: Callable[[], float]
+
+
 class DownstreamFactory(ServerFactory):
     """Admits downstream connections and keeps track of those that are open."""
 
@@ -34,21 +46,22 @@
 
     def __init__(
         self,
-        enqueue: Callable[[object], None],
-        clock: Callable[[], float],
-        ready: Callable[[], bool],
+        hooks: BalancerHooks,
         sockets: int,
         counters: Counter[str],
         lingering_upstreams: LingeringUpstreams,
     ) -> None:
-        """`enqueue` takes the connections' events; `sockets` is the process's limit on descriptors."""
-        self.enqueue = enqueue
-        self.clock = clock
-        self.ready = ready
+        """`sockets` is the process's limit on descriptors."""
+        self.enqueue = hooks.enqueue
+        self.clock = hooks.clock
+        self.ready = hooks.ready
+        self.when_serving = hooks.when_serving
+        self.input_since = hooks.input_since
         self.counters = counters
         self.lingering_upstreams = lingering_upstreams
         self.connections: set[DownstreamConnection] = set()  # all open connections
         self.idle: dict[DownstreamConnection, None] = {}  # open connections without a flow, the oldest first
+        self.backlog_since = 0.0  # since when connections that are accepted now may have waited
         self.descriptor_limit = 1
         self.set_descriptor_limit(sockets)
 
@@ -130,7 +143,7 @@
     def buildProtocol(self, addr: IAddress) -> DownstreamConnection:
         """Count and create a connection."""
         self.counters["connections"] += 1
-        connection = DownstreamConnection()
+        connection = DownstreamConnection(self.clock(), self.backlog_since)
         connection.factory = self
         return connection
 
@@ -144,6 +157,23 @@
     """
 
     transport = DownstreamTransport
+    factory: DownstreamFactory
+    # Since when the connections may have waited that the last read left; None if it left none.
+    _left_since: float | None = None
+
+    def startListening(self) -> None:
+        """Listen; clients can connect from now on."""
+        self._left_since = self.factory.clock()
+        super().startListening()
+
+    def doRead(self) -> None:
+        """Accept some of the connections that wait."""
+        factory = self.factory
+        factory.backlog_since = factory.input_since() if self._left_since is None else self._left_since
+        accepted_before = factory.counters["connections"]
+        super().doRead()
+        accepted = factory.counters["connections"] - accepted_before
+        self._left_since = factory.backlog_since if accepted == ACCEPTS_PER_ITERATION else None
 
     @property
     def numberAccepts(self) -> int:
--- a/lotusroute/net/monotonic_reactor.py
+++ b/lotusroute/net/monotonic_reactor.py
@@ -12,6 +12,7 @@
 from twisted.internet import error, main
 
 from lotusroute.net.errors import WallClockReactorError
+from lotusroute.timing.arrival_times import ArrivalTimes
 
 if TYPE_CHECKING:
     from twisted.internet.base import ReactorBase
@@ -22,6 +23,10 @@
 
     seconds = staticmethod(time.monotonic)
 
+    def input_since(self) -> float:
+        """Return the earliest time at which the input that is being read may have arrived."""
+        return self.seconds()
+
 
 def install() -> None:
     """Install the reactor; raises WallClockReactorError if one on another clock is installed."""
@@ -55,13 +60,23 @@
         """Twisted's epoll reactor on the monotonic clock, without a log context per event.
 
         Twisted sets up a log context for each read and write, which takes a ninth of the CPU time of a flow;
-        none of our log lines use it.
+        none of our log lines use it. It also observes how long input may have waited.
         """
 
+        def __init__(self) -> None:
+            self._arrivals = ArrivalTimes(self.seconds())
+            super().__init__()
+
+        def input_since(self) -> float:
+            """Return the earliest time at which the input that is being read may have arrived."""
+            return self._arrivals.input_since
+
         def doPoll(self, timeout: float | None) -> None:
             """Wait for events for at most `timeout` seconds and handle them."""
             poll_timeout = -1 if timeout is None else timeout
+            started_at = self.seconds()
             ready = self._poller.poll(poll_timeout, max(1, len(self._selectables)))
+            self._arrivals.poll_returned(started_at, timeout, self.seconds())
             for descriptor, event in ready:
                 # The handler of an earlier event in this iteration may have closed the descriptor.
                 selectable = self._selectables.get(descriptor)
--- a/lotusroute/net/request_admission.py
+++ b/lotusroute/net/request_admission.py
@@ -21,6 +21,8 @@
 CAPACITY_RETRY_AFTER_MS = 1_000.0
 # Retry-After during the shutdown. After this time, the front end sends clients only to other balancers.
 SHUTDOWN_RETRY_AFTER_MS = 400.0
+# Retry-After for a request whose time is over: another balancer can serve it at once.
+EXPIRED_RETRY_AFTER_MS = 0.0
 
 
 class RequestAdmission:
@@ -35,6 +37,7 @@
         decide: Callable[[events.Event], None],
     ) -> None:
         self._counters = context.counters
+        self._clock = context.loop.clock
         self._flow_table = context.flow_table
         self._service_types = context.config.service.service_types
         self._admission = admission
@@ -50,6 +53,10 @@
             # hundreds of clients whose disconnects were unread would fill the queue.
             self._counters["client_disconnects"] += 1
             return
+        if self.deadline(event) <= self._clock():
+            # The process was stalled, or requests were held for too long. No server could answer it in time.
+            self._shed(downstream, EXPIRED_RETRY_AFTER_MS)
+            return
         match self._admission.evaluate(event.request):
             case AdmissionResult.ACCEPTED:
                 self._admit(event)
@@ -60,14 +67,19 @@
             case AdmissionResult.AT_CAPACITY:
                 self._shed(downstream, CAPACITY_RETRY_AFTER_MS)
 
-    def _admit(self, event: RequestReceived) -> None:
+    def deadline(self, event: RequestReceived) -> float:
+        """Return until when the request is to be answered."""
         request = event.request
         margin = min(DEADLINE_MARGIN_MS, MAX_DEADLINE_MARGIN_FRACTION * request.timeout)
+        timeout = request.timeout - margin
+        if request.existing_server:
+            timeout = min(timeout, EXISTING_TIMEOUT_MS)
+        return event.received_at + timeout
+
+    def _admit(self, event: RequestReceived) -> None:
+        request = event.request
         flow = self._flow_table.add(
-            request,
-            self._service_types[request.service_type],
-            event.received_at + request.timeout - margin,
-            event.connection,
+            request, self._service_types[request.service_type], self.deadline(event), event.connection
         )
         event.connection.flow_number = flow.number
         flow.log_step(
@@ -78,7 +90,6 @@
             existing_server=request.existing_server,
         )
         if request.existing_server:
-            flow.deadline = min(flow.deadline, event.received_at + EXISTING_TIMEOUT_MS)
             self._existing.reconnect(flow)
         else:
             self._decide(flow.routing_request())
--- a/tests/test_client_disconnects.py
+++ b/tests/test_client_disconnects.py
@@ -24,7 +24,7 @@
 from waiting import TIMEOUT_S, wait_until
 
 from lotusroute.net.lingering_upstreams import LingeringUpstreams
-from lotusroute.net.listener import DownstreamFactory
+from lotusroute.net.listener import BalancerHooks, DownstreamFactory
 
 
 @pytest.mark.parametrize(
@@ -223,9 +223,8 @@
     # The flood is found while its flow is admitted, by the check for a disconnect. Closing the socket with
     # unread data would send a reset, which may overtake the final answer.
     events, counters = [], collections.Counter()
-    factory = DownstreamFactory(
-        events.append, lambda: 0.0, lambda: True, 1_024, counters, LingeringUpstreams()
-    )
+    hooks = BalancerHooks(events.append, lambda: 0.0, lambda: True, lambda callback: callback(), lambda: 0.0)
+    factory = DownstreamFactory(hooks, 1_024, counters, LingeringUpstreams())
     connection = factory.buildProtocol(None)
     connection.callLater = Clock().callLater
     connection.transport = FloodedTransport()
--- a/tests/test_golden_bytes_clients.py
+++ b/tests/test_golden_bytes_clients.py
@@ -15,7 +15,7 @@
 from lotusroute.net.admission import busy_line
 from lotusroute.net.downstream import DownstreamConnection
 from lotusroute.net.lingering_upstreams import LingeringUpstreams
-from lotusroute.net.listener import DownstreamFactory
+from lotusroute.net.listener import BalancerHooks, DownstreamFactory
 from lotusroute.net.open_request import parse_open_request
 
 
@@ -29,9 +29,8 @@
 )
 def test_the_lines_sent_to_a_client(ready, sent, answer):
     connection, transport = DownstreamConnection(), FakeTransport()
-    connection.factory = DownstreamFactory(
-        None, lambda: NOW, lambda: ready, 1024, Counter(), LingeringUpstreams()
-    )
+    hooks = BalancerHooks(None, lambda: NOW, lambda: ready, lambda callback: callback(), lambda: NOW)
+    connection.factory = DownstreamFactory(hooks, 1024, Counter(), LingeringUpstreams())
     connection.callLater = task.Clock().callLater
     transport.loseWriteConnection = transport.unregisterProducer = lambda *_: None
     connection.makeConnection(transport)
