--- a/lotusroute/net/startup_gate.py
+++ b/lotusroute/net/startup_gate.py
@@ -24,12 +24,6 @@
     """Requests can be decided from now on."""
 
 
-class WaitingRequestExpired(NamedTuple):
-    """The time of a request is over that still waits."""
-
-    request: RequestReceived
-
-
 class StartupGate:
     """Passes requests on once it is open, in the order in which they arrived."""
 
@@ -37,7 +31,7 @@
         self._loop = loop
         self._admission = admission
         self._is_open = False
-        # The requests that wait, with the timer that ends the time of each.
+        # The requests that wait, with the timer that queues each again when its time is over.
         self._requests: dict[RequestReceived, DelayedCall] = {}
         self._callbacks: list[Callable[[], None]] = []
         loop.call_later(FIRST_RESPONSE_TIMEOUT_MS, ServingStarted())
@@ -46,7 +40,6 @@
         """Return the handler of each type of event that the gate takes."""
         return {
             RequestReceived: self._request_received,
-            WaitingRequestExpired: self._request_expired,
             ServingStarted: self._open,
         }
 
@@ -62,15 +55,12 @@
             self._callbacks.append(callback)
 
     def _request_received(self, event: RequestReceived) -> None:
-        if self._is_open:
-            self._admission.request_received(event)
-            return
+        self._requests.pop(event, None)
         time_left = self._admission.deadline(event) - self._loop.clock()
-        self._requests[event] = self._loop.call_later(time_left, WaitingRequestExpired(event))
-
-    def _request_expired(self, event: WaitingRequestExpired) -> None:
-        if self._requests.pop(event.request, None) is not None:
-            self._admission.request_received(event.request)
+        if self._is_open or time_left <= 0:
+            self._admission.request_received(event)
+        else:
+            self._requests[event] = self._loop.call_later(time_left, event)
 
     def _open(self, _: ServingStarted) -> None:
         if self._is_open:
@@ -80,7 +70,7 @@
             callback()
         self._callbacks.clear()
         for event, timer in self._requests.items():
-            if timer.active():
+            if timer.active():  # otherwise the event is in the queue
                 timer.cancel()
-            self._admission.request_received(event)
+                self._loop.enqueue(event)
         self._requests.clear()
