Late responses of discovery are used; a poll's timeout follows the measured times

Cause: a poll was given up after a constant timeout, its answer was dropped, and the next one was given up in the same way.

The next poll is sent at the pace as before, so that a silent discovery is found back as soon. The timeout follows the measured times of responses (RoundTripTime, RFC 6298) within what the update interval leaves to the next response. An older list that arrives in time after a newer late one is not a failure. A list from a late response counts as current from its poll's start.

--- a/lotusroute/net/discovery.py
+++ b/lotusroute/net/discovery.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import json
+import logging
 import random
 from collections import Counter
 from collections.abc import Callable
@@ -19,7 +20,7 @@
 from lotusroute.address import Address
 from lotusroute.errors import ProtocolError
 from lotusroute.monotonic_clock import MS_PER_SECOND
-from lotusroute.net.discovery_request import DiscoveryRequester, HttpResponse
+from lotusroute.net.discovery_request import DiscoveryRequest, DiscoveryRequester, HttpResponse
 from lotusroute.net.discovery_source import UpdateSource
 from lotusroute.net.endpoint_list import (
     MALFORMED_LIST_ERRORS,
@@ -44,6 +45,7 @@
 # Statuses of a rejected poll. They say nothing about the polled version, which may still be valid.
 REJECTION_STATUSES = frozenset((429, 502, 503, 504))
 MAX_LOGGED_ERROR_LENGTH = 200  # characters
+NO_CHANGES = EndpointUpdate(ListScope.CHANGES, (), {})
 DEFAULT_POLL_LIMITS = PollLimits.for_remote_discovery(ASSUMED_DRAIN_GRACE_MS)
 
 
@@ -81,7 +83,7 @@
         # A source of updates that balancers share; while it provides them, this client does not poll.
         self.update_source: UpdateSource | None = None
         self._schedule = PollSchedule(limits, random.Random(seed), reactor.seconds())
-        self._requester = DiscoveryRequester(limits.request_timeout)
+        self._requester = DiscoveryRequester(limits.request_timeout, self._late_response_received)
         self._backoff: Deferred[None] | None = None  # the wait after a failed poll
         # When the enqueued list was last known to be current; None before the first update.
         self._list_current_at: float | None = None
@@ -114,7 +116,7 @@
                 # A late response from an old address must not be applied after updates from the new one.
                 return
             if isinstance(result, EndpointUpdate):
-                self._enqueue_update(result)
+                self._enqueue_update(result, reactor.seconds())
             self._report_first_response()
             if isinstance(result, DiscoveryFailed):
                 await self._back_off(result)
@@ -131,7 +133,7 @@
             update = self._decode(message)
         except MALFORMED_LIST_ERRORS:
             return False
-        self._enqueue_update(update)
+        self._enqueue_update(update, reactor.seconds())
         self._report_first_response()
         return True
 
@@ -156,9 +158,10 @@
     async def _request_update(self, timing: PollTiming) -> EndpointUpdate | DiscoveryFailed:
         """Send a request; every failure is returned as a value."""
         self.counters["discovery_requests"] += 1
+        since = self.version
         try:
-            response = await self._requester.get(self._poll_url(timing.hold), timing)
-            return self._handle_response(response, timing)
+            response = await self._requester.get(self._poll_url(timing.hold), timing, since)
+            return self._handle_response(response, timing, since)
         except MALFORMED_LIST_ERRORS as error:
             self.version = None
             return DiscoveryFailed(self._requester.stage, f"{type(error).__name__}: {error}")
@@ -172,7 +175,7 @@
         return f"{self.list_url}?from={self.version}&hold_ms={int(MS_PER_SECOND * hold)}"
 
     def _handle_response(
-        self, response: HttpResponse, timing: PollTiming
+        self, response: HttpResponse, timing: PollTiming, since: int | None
     ) -> EndpointUpdate | DiscoveryFailed:
         """Decode a response and record it; raises unless it is a list that can be applied."""
         if response.status in REJECTION_STATUSES:
@@ -182,13 +185,45 @@
         if response.status != STATUS_OK:
             raise ProtocolError(f"expected status {STATUS_OK}, got {response.status}")
         message = json.loads(response.body)
-        since = self.version
-        update = self._decode(message)
+        if since != self.version and not self._is_newer(message, since):
+            update = NO_CHANGES  # a late response has brought a newer list meanwhile
+        else:
+            update = self._decode(message)
         self._schedule.response_received(reactor.seconds(), timing, has_changes=bool(update.servers))
-        if self.update_source is not None:
+        if self.update_source is not None and update is not NO_CHANGES:
             self.update_source.on_response(message, since)
         return update
 
+    def _late_response_received(self, request: DiscoveryRequest, response: HttpResponse) -> None:
+        """Apply a list that arrives after its poll's timeout, unless a newer one was applied meanwhile."""
+        if self.closed or response.status != STATUS_OK:
+            return
+        try:
+            message = json.loads(response.body)
+            if not self._is_newer(message, request.since):
+                return
+            update = self._decode(message)
+        except MALFORMED_LIST_ERRORS as error:
+            log_event("late response ignored", logging.DEBUG, reason=f"{type(error).__name__}: {error}")
+            return
+        self.counters["late_discovery_responses"] += 1
+        has_changes = bool(update.servers)
+        self._schedule.late_response_received(reactor.seconds(), request.timing, has_changes)
+        if self.update_source is not None:
+            self.update_source.on_response(message, request.since)
+        self._enqueue_update(update, request.timing.started_at)
+        self._report_first_response()
+
+    def _is_newer(self, message: EndpointListMessage, since: int | None) -> bool:
+        """Return whether a message that answers a poll from version `since` can be applied to the list.
+
+        Changes since an older version than the list's contain those since the list's version.
+        """
+        if self.version is None:
+            return bool(message["whole"])
+        is_applicable = bool(message["whole"]) or (since is not None and since <= self.version)
+        return is_applicable and parse_version(message["seq"]) >= self.version
+
     async def _back_off(self, failure: DiscoveryFailed) -> None:
         """Wait after a failed poll; only the first failure in a row is logged."""
         self.counters["discovery_failures"] += 1
@@ -201,9 +236,10 @@
         with contextlib.suppress(CancelledError):
             await self._backoff
 
-    def _enqueue_update(self, update: EndpointUpdate) -> None:
+    def _enqueue_update(self, update: EndpointUpdate, current_at: float) -> None:
+        """Queue an update with a list that was current at `current_at`, unless it has no changes."""
         previous_list_at = self._list_current_at
-        self._list_current_at = reactor.seconds()
+        self._list_current_at = max(current_at, previous_list_at or current_at)
         if update.servers or update.scope == ListScope.COMPLETE:
             self.enqueue(update._replace(previous_list_at=previous_list_at))
 
--- a/lotusroute/net/errors.py
+++ b/lotusroute/net/errors.py
@@ -35,3 +35,10 @@
             "the timers of the installed reactor use the wall clock; "
             "import lotusroute.net.reactor before twisted.internet.reactor"
         )
+
+
+class PollTimedOutError(LotusrouteError):
+    """Discovery has not responded to a poll within its timeout."""
+
+    def __init__(self, timeout: float) -> None:
+        super().__init__(f"no complete response within {timeout:.2f} s")
--- a/lotusroute/net/poll_schedule.py
+++ b/lotusroute/net/poll_schedule.py
@@ -16,6 +16,7 @@
 from typing import NamedTuple
 
 from lotusroute.monotonic_clock import MS_PER_SECOND
+from lotusroute.timing.round_trip_time import RoundTripTime
 
 # By the protocol, a change counts as received this long after discovery has it.
 MAX_UPDATE_DELAY_S = 6.0
@@ -64,6 +65,7 @@
     update_interval: float  # longest time from one complete response to the end of the next
     request_timeout: float  # timeout of a complete response, which is added to the hold
     unqueued_request_timeout: float  # the request timeout if discovery queues no polls
+    max_request_timeout: float  # the longest request timeout that measured times may lead to
     queue_timeout: float
     max_backoff: float
 
@@ -82,6 +84,7 @@
             update_interval=update_interval,
             request_timeout=REQUEST_TIMEOUT_S,
             unqueued_request_timeout=UNQUEUED_REQUEST_TIMEOUT_S,
+            max_request_timeout=REQUEST_TIMEOUT_S,
             queue_timeout=QUEUE_TIMEOUT_S,
             max_backoff=min(MAX_BACKOFF_S, max(MIN_BACKOFF_S, left)),
         )
@@ -101,6 +104,7 @@
             update_interval=_update_interval(drain_grace_ms),
             request_timeout=timeout,
             unqueued_request_timeout=timeout,
+            max_request_timeout=MAX_AGENT_REQUEST_TIMEOUT_S,
             queue_timeout=0.0,
             max_backoff=min(MAX_AGENT_BACKOFF_S, max(MIN_BACKOFF_S, grace / 4)),
         )
@@ -115,7 +119,10 @@
 
     started_at: float
     hold: float  # how long discovery may hold the poll while there are no changes
-    timeout: float  # longest time until the complete response, including the hold
+    timeout: (
+        float  # longest time until the complete response, including the hold, before the next poll is sent
+    )
+    lifetime: float  # longest time until the complete response for which it is of use
     suspension_extension: float  # longest extension of the timeout if this process was suspended meanwhile
 
 
@@ -130,6 +137,7 @@
         self._queued = True  # the last response may have waited in discovery's queue, or there was none
         self._backoff = 0.0  # upper bound of the last backoff; 0 after a success
         self._rejections = 0  # number of rejections since the last success
+        self._response_time = RoundTripTime()  # of polls, without the time for which they were held
 
     @property
     def is_backing_off(self) -> bool:
@@ -147,12 +155,26 @@
     def next_poll(self, now: float, has_version: bool, max_hold: float) -> PollTiming:
         """Return the times of a poll sent now, for the complete list unless `has_version`."""
         limits = self._limits
-        may_be_queued = self._queued or self._unanswered
-        request_timeout = limits.request_timeout if may_be_queued else limits.unqueued_request_timeout
+        request_timeout = self._request_timeout()
         hold = self._hold_time(now, request_timeout, max_hold) if has_version else 0.0
         timeout = request_timeout + hold
         extension = self.remaining(now) - timeout - limits.request_timeout
-        return PollTiming(now, hold, timeout, max(TIMING_MARGIN_S, extension))
+        lifetime = max(timeout, hold + limits.update_interval)
+        return PollTiming(now, hold, timeout, lifetime, max(TIMING_MARGIN_S, extension))
+
+    def _request_timeout(self) -> float:
+        """Return after how long without a response, beyond the hold, the next poll is sent.
+
+        It grows with the measured times of responses, so that a slow discovery is not sent every poll twice.
+        It shrinks again so far that the response to a poll which is sent after the timeout is still in time.
+        """
+        limits = self._limits
+        may_be_queued = self._queued or self._unanswered
+        shortest = limits.request_timeout if may_be_queued else limits.unqueued_request_timeout
+        timeout = min(max(shortest, self._response_time.timeout), max(shortest, limits.max_request_timeout))
+        next_response_time = (self._response_time.smoothed or 0.0) + 2 * MIN_BACKOFF_S
+        longest = max(limits.unqueued_request_timeout, limits.update_interval - next_response_time)
+        return min(timeout, longest)
 
     def _hold_time(self, now: float, request_timeout: float, max_hold: float) -> float:
         """Return how long discovery may hold a poll.
@@ -179,6 +201,23 @@
         hold_used = 0.0 if has_changes else poll.hold
         waited = now - poll.started_at - hold_used
         self._queued = waited > self._limits.unqueued_request_timeout / 2
+        self._measure_response_time(min(now, poll.started_at + poll.timeout), poll)
+
+    def late_response_received(self, now: float, poll: PollTiming, has_changes: bool) -> None:
+        """Record a complete response that brought a list after the poll's timeout.
+
+        The list is as old as the poll, or as the end of its hold if there were no changes until then.
+        """
+        self.note_list_current_at(poll.started_at + (0.0 if has_changes else poll.hold))
+        self._queued = True
+        self._measure_response_time(now, poll)
+        self.poll_succeeded()
+
+    def _measure_response_time(self, now: float, poll: PollTiming) -> None:
+        """Measure how long a response took, unless it is unknown how long the poll was held."""
+        duration = now - poll.started_at - poll.hold
+        if duration >= 0:
+            self._response_time.measured(duration)
 
     def poll_succeeded(self) -> None:
         """Record a poll that brought a list."""
--- a/lotusroute/process_control/discovery_server.py
+++ b/lotusroute/process_control/discovery_server.py
@@ -57,9 +57,16 @@
 
     def send_list(self, poll: Poll) -> None:
         """Send the current entries if they are newer than the client's list, otherwise no entries."""
+        self.send_body(self.list_body(poll))
+
+    def list_body(self, poll: Poll) -> bytes:
+        """Return the body of the answer to a poll that is answered now."""
         entries = self.server.entries if self.server.seq > poll.known_version else []
         document = {"seq": self.server.seq, "whole": poll.version is None, "hosts": entries}
-        body = json.dumps(document).encode()
+        return json.dumps(document).encode()
+
+    def send_body(self, body: bytes) -> None:
+        """Send an answer."""
         with contextlib.suppress(OSError):
             self.send_response(200)
             self.send_header("Content-Length", str(len(body)))
--- a/tests/fake_discovery.py
+++ b/tests/fake_discovery.py
@@ -1,6 +1,7 @@
 """A fake discovery on a loopback socket, with faults that tests select."""
 
 import contextlib
+import socket
 import time
 from typing import Protocol
 
@@ -50,8 +51,24 @@
         """Send the list, or hold the poll until there is a change to its version or its deadline."""
         time.sleep(self.server.response_delay)
         if self._wait_for_list(poll):
-            self.server.responses.append((time.monotonic(), self.server.seq))
-            self.send_list(poll)
+            body, seq = self.list_body(poll), self.server.seq
+            time.sleep(self.server.sending_delay)
+            if self.server.sending_delay and self._is_closed_by_client():
+                return
+            self.server.responses.append((time.monotonic(), seq))
+            self.send_body(body)
+
+    def _is_closed_by_client(self) -> bool:
+        """Return whether the client has given the poll up."""
+        self.connection.setblocking(False)
+        try:
+            return self.connection.recv(1, socket.MSG_PEEK) == b""
+        except BlockingIOError:
+            return False
+        except ConnectionResetError:
+            return True
+        finally:
+            self.connection.setblocking(True)
 
     def _wait_for_list(self, poll: Poll) -> bool:
         """Wait until there is a list to send; return False if the poll was interrupted instead."""
@@ -93,6 +110,7 @@
         self.responses: list[tuple[float, int]] = []  # time of each response and the version that it sends
         self.rejections = 0  # how many of the next polls are rejected
         self.response_delay = 0.0  # seconds before each response
+        self.sending_delay = 0.0  # seconds from when the content of a response is decided to its sending
         # Faults of the next polls, one each: "drop", "silent", "partial", "reject", or the seconds for which
         # the poll is queued.
         self.script: list[str | float] = []
