The first response after a reload is due in 4 s; rejections leave a poll in time

Without a reload, the poll after three rejections in a row was sent after 6 s and the grace in 9 of 100 drawn cases.

Cause: the schedule counted 6 s for every first response, and waited a whole interval once less than 1.2 s and the wait in the queue were left.

Change: PollSchedule is told within which time the first response is due. A last backoff ends before the wait in the queue no longer fits, and after it a poll is sent while a short queue would still be in time. A response that has begun must end within the shorter timeout, since it is not queued any more.

--- a/lotusroute/net/discovery.py
+++ b/lotusroute/net/discovery.py
@@ -32,6 +32,7 @@
 from lotusroute.net.poll_schedule import (
     ASSUMED_DRAIN_GRACE_MS,
     LONG_POLL_HOLD_MS,
+    MAX_UPDATE_DELAY_S,
     PollLimits,
     PollSchedule,
     PollStage,
@@ -67,9 +68,11 @@
         enqueue: Callable[[EndpointUpdate], None],
         counters: Counter[str],
         limits: PollLimits = DEFAULT_POLL_LIMITS,
+        first_update_delay: float = MAX_UPDATE_DELAY_S,
     ) -> None:
         """`enqueue` is called with each update.
 
+        What discovery has now counts as received after `first_update_delay` seconds.
         `version` is the version of the list that was enqueued before, or None to request the complete list.
         """
         host, port = address
@@ -82,7 +85,7 @@
         self.on_first_response: Callable[[], None] | None = None  # called once, after the first poll
         # A source of updates that balancers share; while it provides them, this client does not poll.
         self.update_source: UpdateSource | None = None
-        self._schedule = PollSchedule(limits, random.Random(seed), reactor.seconds())
+        self._schedule = PollSchedule(limits, random.Random(seed), reactor.seconds(), first_update_delay)
         self._requester = DiscoveryRequester(limits.request_timeout, self._late_response_received)
         self._backoff: Deferred[None] | None = None  # the wait after a failed poll
         # When the enqueued list was last known to be current; None before the first update.
--- a/lotusroute/net/discovery_request.py
+++ b/lotusroute/net/discovery_request.py
@@ -68,6 +68,7 @@
     async def _exchange(self, agent: Agent, url: str) -> HttpResponse:
         response = await self._make_cancellable(agent.request(b"GET", url.encode()))
         self.stage = PollStage.PARTIAL_RESPONSE
+        self._limit_time_left(self.timing.body_timeout)
         body = await self._make_cancellable(readBody(response))
         self.stage = PollStage.MALFORMED_RESPONSE
         return HttpResponse(response.code, body)
@@ -117,6 +118,13 @@
 
         self._timer = reactor.callLater(seconds, expire)
 
+    def _limit_time_left(self, seconds: float) -> None:
+        """Let the timeout pass after `seconds` at the latest: a response that has begun is not queued."""
+        timer = self._timer
+        if not self.is_late and timer is not None and timer.getTime() > reactor.seconds() + seconds:
+            timer.cancel()
+            self._start_timer(seconds, self.timing.suspension_extension)
+
     def _time_out(self) -> None:
         self.is_late = True
         time_left = self.timing.started_at + self.timing.lifetime - reactor.seconds()
--- a/lotusroute/net/discovery_session.py
+++ b/lotusroute/net/discovery_session.py
@@ -20,7 +20,11 @@
     parse_endpoint_list,
     parse_version,
 )
-from lotusroute.net.poll_schedule import PollLimits
+from lotusroute.net.poll_schedule import (
+    MAX_UPDATE_DELAY_AFTER_RELOAD_S,
+    MAX_UPDATE_DELAY_S,
+    PollLimits,
+)
 from lotusroute.net.structured_log import Counters, log_event
 from lotusroute.routing.events import ListScope
 
@@ -53,8 +57,10 @@
         differently.
         """
         version = None
+        first_update_delay = MAX_UPDATE_DELAY_AFTER_RELOAD_S
         if self._discovery is None:
             version = _cached_version(self.config)
+            first_update_delay = MAX_UPDATE_DELAY_S
         else:
             self._discovery.close()
         discovery = Discovery(
@@ -64,6 +70,7 @@
             self._enqueue,
             self._counters,
             _poll_limits(self.config),
+            first_update_delay,
         )
         self._discovery = discovery
         discovery.on_first_response = on_first_response
--- a/lotusroute/net/poll_schedule.py
+++ b/lotusroute/net/poll_schedule.py
@@ -20,6 +20,8 @@
 
 # By the protocol, a change counts as received this long after discovery has it.
 MAX_UPDATE_DELAY_S = 6.0
+# What a new discovery has to tell counts as received this long after the reload that names its address.
+MAX_UPDATE_DELAY_AFTER_RELOAD_S = 4.0
 LONG_POLL_HOLD_MS = 2_000  # longest time for which discovery holds a poll while there are no changes
 # The grace that a client without service settings, such as a relay, assumes.
 ASSUMED_DRAIN_GRACE_MS = 2_000.0
@@ -42,6 +44,10 @@
 MIN_REJECTION_BACKOFF_S = 1.2
 # The fixed part of a backoff; the rest is random, so that the polls of many balancers spread.
 MIN_BACKOFF_FRACTION = 0.2
+# The fixed part of the last backoff after which a poll may still wait in the queue, and the shortest time
+# that is left for such a backoff.
+MIN_LAST_BACKOFF_FRACTION = 0.5
+MIN_LAST_BACKOFF_S = 0.3
 
 
 class PollStage(StrEnum):
@@ -122,6 +128,7 @@
     timeout: (
         float  # longest time until the complete response, including the hold, before the next poll is sent
     )
+    body_timeout: float  # longest time from the first part of the response to its end, as part of the timeout
     lifetime: float  # longest time until the complete response for which it is of use
     suspension_extension: float  # longest extension of the timeout if this process was suspended meanwhile
 
@@ -129,10 +136,18 @@
 class PollSchedule:
     """Computes the times of polls and backoffs from the results of earlier polls."""
 
-    def __init__(self, limits: PollLimits, rng: random.Random, now: float) -> None:
+    def __init__(
+        self,
+        limits: PollLimits,
+        rng: random.Random,
+        now: float,
+        first_update_delay: float = MAX_UPDATE_DELAY_S,
+    ) -> None:
+        """The changes that discovery has now count as received after `first_update_delay`."""
         self._limits = limits
         self._rng = rng
-        self._list_current_at = now  # when the list was last known to be current
+        # When the next complete response is due.
+        self._response_due_at = now + limits.update_interval - (MAX_UPDATE_DELAY_S - first_update_delay)
         self._unanswered = True  # the last poll was not answered, or there was none
         self._queued = True  # the last response may have waited in discovery's queue, or there was none
         self._backoff = 0.0  # upper bound of the last backoff; 0 after a success
@@ -146,11 +161,11 @@
 
     def remaining(self, now: float) -> float:
         """Return how much time is left until the next complete response is due."""
-        return self._list_current_at + self._limits.update_interval - now
+        return self._response_due_at - now
 
     def note_list_current_at(self, time: float) -> None:
         """Record that the list, from whatever source, was known to be current at `time`."""
-        self._list_current_at = max(self._list_current_at, time)
+        self._response_due_at = max(self._response_due_at, time + self._limits.update_interval)
 
     def next_poll(self, now: float, has_version: bool, max_hold: float) -> PollTiming:
         """Return the times of a poll sent now, for the complete list unless `has_version`."""
@@ -160,7 +175,14 @@
         timeout = request_timeout + hold
         extension = self.remaining(now) - timeout - limits.request_timeout
         lifetime = max(timeout, hold + limits.update_interval)
-        return PollTiming(now, hold, timeout, lifetime, max(TIMING_MARGIN_S, extension))
+        return PollTiming(
+            started_at=now,
+            hold=hold,
+            timeout=timeout,
+            body_timeout=limits.unqueued_request_timeout,
+            lifetime=lifetime,
+            suspension_extension=max(TIMING_MARGIN_S, extension),
+        )
 
     def _request_timeout(self) -> float:
         """Return after how long without a response, beyond the hold, the next poll is sent.
@@ -197,7 +219,7 @@
 
         If this process read it late, the list counts as current until the poll's timeout only, not until now.
         """
-        self._list_current_at = min(now, poll.started_at + poll.timeout)
+        self._response_due_at = min(now, poll.started_at + poll.timeout) + self._limits.update_interval
         hold_used = 0.0 if has_changes else poll.hold
         waited = now - poll.started_at - hold_used
         self._queued = waited > self._limits.unqueued_request_timeout / 2
@@ -238,24 +260,36 @@
         """Return how long to wait after a failed poll; the upper bound grows with each failure."""
         if stage == PollStage.REJECTED:
             self._rejections += 1
-            self._backoff = self._rejection_backoff(now, first=self._rejections == 1)
-        else:
-            self._backoff = min(max(MIN_BACKOFF_S, 2 * self._backoff), self._limits.max_backoff)
-        return self._backoff * self._rng.uniform(MIN_BACKOFF_FRACTION, 1.0)
+            return self._rejection_backoff(now, first=self._rejections == 1)
+        self._backoff = min(max(MIN_BACKOFF_S, 2 * self._backoff), self._limits.max_backoff)
+        return self._draw_backoff(MIN_BACKOFF_FRACTION)
 
     def _rejection_backoff(self, now: float, first: bool) -> float:
-        """Return the longest backoff after a rejection.
+        """Return how long to wait after a rejection.
 
         Rejecting a poll costs discovery work too: the rejections of 40 balancers that retry every second keep
-        it busy. So the backoff uses the time that is left, less what the next poll may wait in the queue.
+        it busy. So the backoff uses the time that is left, less what the next poll may wait in the queue. A
+        poll is sent before no more than the wait in the queue is left, whatever happened to earlier ones.
         """
         limits = self._limits
         if limits.discovery_is_local_agent:
-            return limits.max_backoff
+            self._backoff = limits.max_backoff
+            return self._draw_backoff(MIN_BACKOFF_FRACTION)
         left = self.remaining(now)
+        before_queue = left - limits.queue_timeout
         interval = limits.update_interval - limits.queue_timeout
-        if left - limits.queue_timeout >= MIN_REJECTION_BACKOFF_S or (first and left > 0):
-            half_interval = min(interval / 2, left - limits.queue_timeout)
-            return max(half_interval, min(MIN_REJECTION_BACKOFF_S, left))
-        # The next response is late in any case, and the more polls are sent, the fewer discovery can answer.
-        return interval
+        if before_queue >= MIN_REJECTION_BACKOFF_S:
+            self._backoff = max(MIN_REJECTION_BACKOFF_S, min(interval / 2, before_queue))
+        elif before_queue >= MIN_LAST_BACKOFF_S:
+            self._backoff = before_queue
+            return self._draw_backoff(MIN_LAST_BACKOFF_FRACTION)
+        elif left >= MIN_REJECTION_BACKOFF_S or (first and left > 0):
+            # The response is late only if it waits in the queue for as long as discovery allows.
+            self._backoff = min(MIN_REJECTION_BACKOFF_S, left) if first else left
+        else:
+            # The response is late in any case, and the more polls are sent, the fewer discovery can answer.
+            self._backoff = interval
+        return self._draw_backoff(MIN_BACKOFF_FRACTION)
+
+    def _draw_backoff(self, fixed_fraction: float) -> float:
+        return self._backoff * self._rng.uniform(fixed_fraction, 1.0)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -18,6 +18,8 @@
 
 # By the protocol, a change counts as received this long after discovery has it.
 MAX_UPDATE_DELAY_S = 6.0
+# What a new discovery has counts as received this long after SIGHUP.
+MAX_UPDATE_DELAY_AFTER_RELOAD_S = 4.0
 QUEUE_DELAY_S = 2.0  # how long discovery queues a poll
 POLLING_SETTINGS = {**SETTINGS, "discovery": "ask", "rules": {"stop_sending_within": 500}}
 FAULTS = ["silent", "partial", "reject"]
@@ -103,7 +105,7 @@
         balancer.reload(discovery=f"127.0.0.1:{new.server_port}")
         start = time.monotonic()
         wait_until(lambda: new.responses)
-        assert new.responses[0][0] - start < MAX_UPDATE_DELAY_S + 0.5
+        assert new.responses[0][0] - start < MAX_UPDATE_DELAY_AFTER_RELOAD_S + 0.5
         # The balancer may not have applied an update yet that discovery has sent.
         wait_until(lambda: balancer.open_flow().readline() == b"UP two\r\n")
     new.shutdown()
--- a/tests/test_poll_schedule.py
+++ b/tests/test_poll_schedule.py
@@ -1,15 +1,19 @@
 """The times of polls and backoffs, without sockets: how much of the deadline a poll leaves for the next."""
 
+import heapq
 import random
+from collections import Counter
 
 import pytest
 
 from lotusroute.net.poll_schedule import (
     MAX_AGENT_BACKOFF_S,
     MAX_BACKOFF_S,
+    MAX_UPDATE_DELAY_AFTER_RELOAD_S,
     MAX_UPDATE_DELAY_S,
     MIN_BACKOFF_FRACTION,
     MIN_BACKOFF_S,
+    MIN_LAST_BACKOFF_FRACTION,
     MIN_REJECTION_BACKOFF_S,
     QUEUE_TIMEOUT_S,
     REQUEST_TIMEOUT_S,
@@ -29,7 +33,7 @@
     """A random number generator with which every backoff has its maximum length."""
 
     def uniform(self, low, high):
-        assert (low, high) == (MIN_BACKOFF_FRACTION, 1.0)
+        assert low in (MIN_BACKOFF_FRACTION, MIN_LAST_BACKOFF_FRACTION) and high == 1.0
         return high
 
 
@@ -186,6 +190,61 @@
     assert remote.next_backoff(late, PollStage.REJECTED) == pytest.approx(interval)
 
 
+CLIENT_COUNT = 200  # balancers whose discovery is moved by the same reload
+WAIT_S = 1.8  # how long each poll of a crowded discovery waits that is not rejected
+
+
+class CrowdedDiscovery:
+    """A discovery in virtual time that many clients poll at once: it rejects polls, then each one waits."""
+
+    def __init__(self, grace_ms, rejecting_until):
+        limits = PollLimits.for_remote_discovery(grace_ms)
+        self.rejecting_until = rejecting_until
+        self.poll_times = []
+        self.list_times = []  # when clients received their list
+        self.schedules = [
+            PollSchedule(limits, random.Random(seed), 0.0, MAX_UPDATE_DELAY_AFTER_RELOAD_S)
+            for seed in range(CLIENT_COUNT)
+        ]
+
+    def run(self):
+        due = [(0.0, client) for client in range(CLIENT_COUNT)]
+        while due:
+            now, client = heapq.heappop(due)
+            schedule = self.schedules[client]
+            self.poll_times.append(now)
+            timing = schedule.next_poll(now, False, MAX_HOLD_S)
+            if now >= self.rejecting_until:
+                self.list_times.append(now + WAIT_S)
+                continue
+            schedule.poll_failed(timing, PollStage.REJECTED)
+            backoff = schedule.next_backoff(now, PollStage.REJECTED)
+            heapq.heappush(due, (now + backoff, client))
+
+
+@pytest.mark.parametrize("grace_ms", [500.0, 2_000.0])
+@pytest.mark.parametrize("rejecting_until", [0.1, 0.5, 1.0, 1.5, 1.9])
+def test_after_a_reload_all_balancers_have_the_list_of_a_crowded_discovery_in_time(rejecting_until, grace_ms):
+    discovery = CrowdedDiscovery(grace_ms, rejecting_until)
+    discovery.run()
+    assert len(discovery.list_times) == CLIENT_COUNT
+    assert max(discovery.list_times) <= MAX_UPDATE_DELAY_AFTER_RELOAD_S + grace_ms / 1_000
+    # All poll at the reload; later no second has as many polls from all of them again.
+    polls = Counter(int(time / 0.5) for time in discovery.poll_times if time > 0.0)
+    assert max(polls.values()) < CLIENT_COUNT
+
+
+@pytest.mark.parametrize("seed", range(50))
+@pytest.mark.parametrize("grace_ms", [500.0, 2_000.0])
+def test_the_poll_after_three_rejections_in_a_row_is_sent_before_the_response_is_due(grace_ms, seed):
+    schedule = new_schedule(PollLimits.for_remote_discovery(grace_ms), random.Random(seed))
+    poll_successfully(schedule, START_S)
+    now = START_S
+    for _ in range(3):
+        now = fail_poll(schedule, now, PollStage.REJECTED)
+    assert schedule.remaining(now) > 0.0
+
+
 @pytest.mark.parametrize("already_late", [0.0, 60.0])
 def test_the_timeout_is_extended_after_a_suspension_by_the_rest_of_the_deadline(remote, already_late):
     poll_successfully(remote, START_S)
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -83,7 +83,9 @@
 def late_request(since: int | None) -> DiscoveryRequest:
     """Return a request for the changes since a version that was sent a moment ago."""
     now = time.monotonic()
-    timing = PollTiming(now - 1.0, hold=0.0, timeout=0.25, lifetime=6.0, suspension_extension=0.0)
+    timing = PollTiming(
+        now - 1.0, hold=0.0, timeout=0.25, body_timeout=0.25, lifetime=6.0, suspension_extension=0.0
+    )
     return DiscoveryRequest(timing, since, request_timeout=0.25)
 
 
