A list without a Content-Length is applied if its document is whole

What callers saw: a discovery that ends a list by closing the connection was never heard; each poll failed with "partial response".

Cause: the HTTP client reports such an end as a possible loss of data, which was taken for a failure.

Change: read_body takes such a body for complete if its document is whole, and refuses one that breaks off earlier, as before; its version is kept.

--- a/lotusroute/net/discovery.py
+++ b/lotusroute/net/discovery.py
@@ -39,10 +39,10 @@
     PollTiming,
 )
 from lotusroute.net.reactor import reactor
+from lotusroute.net.response_body import STATUS_OK
 from lotusroute.net.structured_log import log_event
 from lotusroute.routing.events import ListScope
 
-STATUS_OK = 200
 # Statuses of a rejected poll. They say nothing about the polled version, which may still be valid.
 REJECTION_STATUSES = frozenset((429, 502, 503, 504))
 MAX_LOGGED_ERROR_LENGTH = 200  # characters
--- a/lotusroute/net/discovery_request.py
+++ b/lotusroute/net/discovery_request.py
@@ -12,11 +12,12 @@
 from twisted.internet.base import DelayedCall
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
-from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.client import Agent, HTTPConnectionPool
 
 from lotusroute.net.errors import PollTimedOutError
 from lotusroute.net.poll_schedule import REQUEST_TIMEOUT_S, PollStage, PollTiming
 from lotusroute.net.reactor import reactor
+from lotusroute.net.response_body import read_body
 
 Result = TypeVar("Result")
 
@@ -69,7 +70,7 @@
         response = await self._make_cancellable(agent.request(b"GET", url.encode()))
         self.stage = PollStage.PARTIAL_RESPONSE
         self._limit_time_left(self.timing.body_timeout)
-        body = await self._make_cancellable(readBody(response))
+        body = await self._make_cancellable(read_body(response))
         self.stage = PollStage.MALFORMED_RESPONSE
         return HttpResponse(response.code, body)
 
--- a/lotusroute/net/errors.py
+++ b/lotusroute/net/errors.py
@@ -42,3 +42,17 @@
 
     def __init__(self, timeout: float) -> None:
         super().__init__(f"no complete response within {timeout:.2f} s")
+
+
+class TruncatedResponseError(LotusrouteError):
+    """A response without a length ended before its document was whole."""
+
+    def __init__(self, received: int) -> None:
+        super().__init__(f"the response ended after {received} bytes, before its document was whole")
+
+
+class ResponseTooLongError(LotusrouteError):
+    """A response is longer than any endpoint list."""
+
+    def __init__(self, longest: int) -> None:
+        super().__init__(f"the response is longer than {longest} bytes")
--- a/tests/fake_discovery.py
+++ b/tests/fake_discovery.py
@@ -58,6 +58,18 @@
             self.server.responses.append((time.monotonic(), seq))
             self.send_body(body)
 
+    def send_body(self, body: bytes) -> None:
+        """Send an answer; without a length, its end is the end of the connection."""
+        if self.server.unsized_bytes is None:
+            super().send_body(body + b" " * self.server.list_padding)
+            return
+        self.close_connection = True
+        with contextlib.suppress(OSError):
+            self.send_response(200)
+            self.send_header("Connection", "close")
+            self.end_headers()
+            self.wfile.write(body[: self.server.unsized_bytes])
+
     def _is_closed_by_client(self) -> bool:
         """Return whether the client has given the poll up."""
         self.connection.setblocking(False)
@@ -117,5 +129,8 @@
         self.interruptions = 0  # whenever a test increases this, the polls in flight are never answered
         self.down = False  # while true, polls in flight and new polls are never answered
         self.partial_responses = False  # if true, an interrupted poll gets a part of a response
+        self.list_padding = 0  # number of spaces behind each list
+        # If not None, answers have no Content-Length, and this is how many bytes of a body are sent.
+        self.unsized_bytes: int | None = None
         self.resets = False  # if true, the connection of an interrupted poll is reset
         super().__init__([server.entry() for server in servers], int(available), FakeDiscoveryHandler)
