A line may have 4,096 bytes of text and CR LF

The protocol says that lines are "each ended by CRLF and at most 4 KiB long". Read again: it does not say whether the CRLF counts. A line with 4,095 or 4,096 bytes of text is legal in one reading, and its connection was reset, or its request answered ERR, which loses it. A line is accepted now if either reading allows it; one with 4,097 bytes of text is refused as before.

--- a/lotusroute/net/line_protocol.py
+++ b/lotusroute/net/line_protocol.py
@@ -23,7 +23,8 @@
 from lotusroute.net.send_queue import unacknowledged_bytes
 from lotusroute.net.structured_log import log_event, log_exception
 
-# Longest line, including its line ending. The protocol sets this limit.
+# Longest text of a line. By the protocol a line is at most 4 KiB long and ended by CRLF; whether the ending
+# counts is open, so a line is accepted that is within the limit either way.
 MAX_LINE_LENGTH = 4096
 # Largest amount of data that is read at once, and that may wait to be written. With Twisted's 64 KiB in each
 # direction, a balancer at its limit of connections would take 90 MB and exceed its memory.
@@ -40,6 +41,7 @@
 ERR = b"ERR"
 LOAD = b"LOAD"
 LINE_END = b"\r\n"
+MAX_ENDED_LINE_LENGTH = MAX_LINE_LENGTH + len(LINE_END)
 # A server's receipt as a complete line. Only a line that matches it means that a server has accepted a flow.
 RECEIPT = re.compile(rb"UP [!-~][ -~]*\r\n")
 
@@ -58,8 +60,8 @@
     """A `LineReceiver` whose `lineReceived` takes slices that include the line ending, to be forwarded."""
 
     transport: Any  # a TCP transport; the interface that Twisted declares lacks TCP's methods
-    MAX_LENGTH = MAX_LINE_LENGTH
-    MAX_BUFFERED = MAX_LINE_LENGTH  # largest amount of data that may arrive while lines are buffered
+    MAX_LENGTH = MAX_ENDED_LINE_LENGTH
+    MAX_BUFFERED = MAX_ENDED_LINE_LENGTH  # largest amount of data that may arrive while lines are buffered
     discarding = False  # whether received data is discarded, since it can be of no use any more
     buffering = False  # whether lines are buffered instead of passed on; the socket is still read
     established = False  # whether lines are forwarded to and from the other side of a flow
@@ -92,7 +94,7 @@
         view = memoryview(data)
         try:
             while not (self.buffering or self.paused or self.transport.disconnecting):
-                end = data.find(LINE_END, start, start + MAX_LINE_LENGTH)
+                end = data.find(LINE_END, start, start + MAX_ENDED_LINE_LENGTH)
                 if end < 0:
                     break
                 end += len(LINE_END)
@@ -119,7 +121,7 @@
         if self.buffering or self.paused:
             if len(self._buffer) > self.MAX_BUFFERED:
                 self.buffer_overflowed()
-        elif len(self._buffer) >= MAX_LINE_LENGTH and not self.transport.disconnecting:
+        elif len(self._buffer) >= MAX_ENDED_LINE_LENGTH and not self.transport.disconnecting:
             self.lineLengthExceeded(self._buffer)
 
     def has_buffered_data(self) -> bool:
