A set-up target of 0 is a settings error at the start

What callers saw: with a set-up target of 0, servers that report latencies and no latency objective, the first migration off an overloaded server divided by zero in _migration_fraction, and the event failed.

Change: a set-up target below 1 ms is an error; a missing one is an error where reported latencies would be compared with it. No other setting is affected.

--- a/lotusroute/service_config.py
+++ b/lotusroute/service_config.py
@@ -23,6 +23,8 @@
 DEFAULT_IDEMPOTENCY_SETTING = "non_idempotent"  # the safest setting: a flow never runs twice by mistake
 STABLE_WEIGHTS = ("nominal", "rough")  # kinds of weights that do not change between endpoint lists
 DEFAULT_POLL_INTERVAL_MS = 10_000.0
+# Below it a set-up target is taken for a mistake: with 0, every attempt would be slow.
+MIN_SETUP_TARGET_MS = 1.0
 LATENCY_OBJECTIVES_PATH = "family_info.message_aim"
 
 
@@ -84,13 +86,16 @@
     """
     latency_objective = _parse_latency_objective(settings)
     service_types = _parse_service_types(settings)
+    reports_latency = _parse_boolean(settings, "family_info.tells_delay")
+    if reports_latency and not latency_objective:
+        _require_setup_targets(service_types)
     return events.ServiceConfig(
         service_types=service_types,
         instance_index=int(_parse_setting(settings, "me")),
         instance_count=int(_parse_setting(settings, "siblings", 1, minimum=1)),
         groups_share_work=_parse_boolean(settings, "family_info.groups"),
         trusts_weights=settings.get("weights", "silent") in STABLE_WEIGHTS,
-        reports_latency=_parse_boolean(settings, "family_info.tells_delay"),
+        reports_latency=reports_latency,
         latency_objective=latency_objective,
         polls_discovery=settings.get("discovery") == "ask",
         poll_interval=_parse_setting(settings, "rules.ask_every", DEFAULT_POLL_INTERVAL_MS),
@@ -111,10 +116,20 @@
     return service_types
 
 
+def _require_setup_targets(service_types: Mapping[str, events.ServiceType]) -> None:
+    """Raise ConfigError if a service type has no set-up target, with which reported latencies are compared."""
+    for index, service_type in enumerate(service_types.values()):
+        if not service_type.setup_target:
+            raise ConfigError(
+                f"service_types.{index}.setup_target: required if servers report latencies and "
+                f"{LATENCY_OBJECTIVES_PATH} is not set"
+            )
+
+
 def _parse_service_type(settings: Mapping[str, str], prefix: str) -> events.ServiceType:
     idempotency = settings.get(f"{prefix}.effect", DEFAULT_IDEMPOTENCY_SETTING)
     return events.ServiceType(
-        setup_target=_parse_setting(settings, f"{prefix}.setup_target"),
+        setup_target=_parse_setting(settings, f"{prefix}.setup_target", minimum=MIN_SETUP_TARGET_MS),
         idempotency=_parse_choice(IDEMPOTENCY_SETTINGS, idempotency, f"{prefix}.effect"),
         dedup_scope=_parse_dedup_scope(settings.get(f"{prefix}.group", "all")),
         dedup_window=_parse_setting(settings, f"{prefix}.window"),
