--- a/lotusroute/service_config.py
+++ b/lotusroute/service_config.py
@@ -117,7 +117,7 @@
 
 
 def _require_setup_targets(service_types: Mapping[str, events.ServiceType]) -> None:
-    """Raise ConfigError if a service type has no set-up target, with which reported latencies are compared."""
+    """Raise ConfigError if a service type lacks the target that reported latencies are compared with."""
     for index, service_type in enumerate(service_types.values()):
         if not service_type.setup_target:
             raise ConfigError(
