Test: 420 clients that take nothing, at 1,024 descriptors, and a shutdown with them

The test of clients that do not take their MOVE also runs at 1,024 descriptors: 448 new flows are served beside 420 such clients, and the shutdown keeps its time, with a MOVE to each new client.

--- a/tests/test_slow_clients.py
+++ b/tests/test_slow_clients.py
@@ -113,17 +113,27 @@
         assert descriptor_count(balancer) == descriptors - 2 and client
 
 
-def test_clients_that_do_not_take_their_move_hold_no_descriptor_that_a_new_flow_needs():
-    # 30 clients take nothing and linger. The balancer has room for 32 flows, with two descriptors each, only
-    # without these clients.
+@pytest.mark.parametrize(("sockets", "lingering_count", "new_count"), [(128, 30, 32), (1_024, 420, 448)])
+def test_clients_that_do_not_take_their_move_hold_no_descriptor_that_a_new_flow_needs(
+    sockets, lingering_count, new_count
+):
+    # Many clients take nothing and linger. The balancer has room for the new flows, with two descriptors
+    # each, only without these clients. The shutdown keeps its time with all of them.
     server, other = FakeServer("s0"), FakeServer("s1")
-    with Balancer(server, sockets=128) as balancer:
-        lingering = [fill_client_with_lines(balancer, server, 20, key=str(index)) for index in range(30)]
+    with Balancer(server, sockets=sockets) as balancer:
+        lingering = [
+            fill_client_with_lines(balancer, server, 20, key=str(index)) for index in range(lingering_count)
+        ]
         balancer.discovery.entries = [server.entry("DRAINING"), other.entry()]
         balancer.discovery.seq += 1
         time.sleep(DRAIN_SPREAD_S + LINGER_TIMEOUT_S + CHECK_MARGIN_S)
-        clients = [balancer.open_flow(f"new{index}") for index in range(32)]
-        assert [client.readline() for client in clients] == [b"UP r1\r\n"] * 32 and lingering
+        clients = [balancer.open_flow(f"new{index}") for index in range(new_count)]
+        assert [client.readline() for client in clients] == [b"UP r1\r\n"] * new_count and lingering
+        start = time.monotonic()
+        balancer.process.send_signal(signal.SIGTERM)
+        assert balancer.process.wait(TIMEOUT_S) == 0
+        assert time.monotonic() - start < SHUTDOWN_LIMIT_S
+        assert [client.readline() for client in clients] == [b"MOVE\r\n"] * new_count
 
 
 def test_new_flows_are_served_beside_clients_that_read_slowly_after_their_servers_end():
