A response that is given up closes its connection; cancelling it raised an error

The stand-in of the HTTP client's transport has no abortConnection, so cancelling the reading of a body raised AttributeError, which was taken for a malformed list: each later poll asked for the complete list and failed in the same way. It has loseConnection, which closes at once since nothing waits to be written.

--- a/lotusroute/net/response_body.py
+++ b/lotusroute/net/response_body.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from typing import Any
 
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Protocol, connectionDone
@@ -34,14 +35,16 @@
 class _BodyReader(Protocol):
     """Collects one body; `result` fires when the body ends."""
 
+    transport: Any  # the interface that Twisted declares lacks `self` in its methods
+
     def __init__(self, status: int) -> None:
-        self.result: Deferred[bytes] = Deferred(self._abort)
+        self.result: Deferred[bytes] = Deferred(self._close)
         self._status = status
         self._received = bytearray()
 
-    def _abort(self, _: "Deferred[bytes] | None" = None) -> None:
+    def _close(self, _: "Deferred[bytes] | None" = None) -> None:
         if self.transport is not None:
-            self.transport.abortConnection()
+            self.transport.loseConnection()
 
     def dataReceived(self, data: bytes) -> None:
         """Collect a part of the body."""
@@ -50,7 +53,7 @@
         self._received += data
         if len(self._received) > MAX_BODY_BYTES:
             self.result.errback(ResponseTooLongError(MAX_BODY_BYTES))
-            self._abort()
+            self._close()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Handle the end of the body, which is the end of the connection if the body has no length."""
