--- a/tests/fake_discovery.py
+++ b/tests/fake_discovery.py
@@ -41,6 +41,8 @@
                 time.sleep(queue_s)
                 # The poll's hold time has passed while it was queued, so it is answered without another hold.
                 self._answer(poll._replace(deadline=0.0))
+            case _ if time.monotonic() < discovery.rejecting_until:
+                self._reject()
             case _ if discovery.rejections:
                 discovery.rejections -= 1
                 self._reject()
@@ -120,6 +122,7 @@
     def __init__(self, *servers: ServerWithEntry, available: bool = True) -> None:
         self.polls: list[tuple[float, str | None]] = []  # time of each poll and the version that it states
         self.responses: list[tuple[float, int]] = []  # time of each response and the version that it sends
+        self.rejecting_until = 0.0  # until when all polls are rejected
         self.rejections = 0  # how many of the next polls are rejected
         self.response_delay = 0.0  # seconds before each response
         self.sending_delay = 0.0  # seconds from when the content of a response is decided to its sending
