Ports of processes are reserved in blocks, so two runs of the suite do not share any

Each pytest worker took every eighth port of one range, so the workers of two runs at the same time drew from the same ports, and a process that is slow to bind its port could find it in use.

The old allocator has no such reservation to test.

--- a/lotusroute/process_control/errors.py
+++ b/lotusroute/process_control/errors.py
@@ -46,3 +46,11 @@
 
 def _format_last_lines(lines: Sequence[object]) -> str:
     return "\n".join(str(line).rstrip("\n") for line in lines[-LINES_SHOWN:])
+
+
+class NoFreePortsError(ProcessControlError):
+    """All ports from which processes may be given one are in use or reserved."""
+
+    def __init__(self, blocks: int) -> None:
+        super().__init__(f"no free port; all of {blocks} blocks of ports are reserved")
+        self.blocks = blocks
--- a/tests/balancer_process.py
+++ b/tests/balancer_process.py
@@ -1,7 +1,6 @@
 """Runs a balancer as a separate process for tests, with a fake discovery service and client connections."""
 
 import json
-import os
 import pathlib
 import resource
 import signal
@@ -18,7 +17,7 @@
 from lotusroute.address import Address
 from lotusroute.process_control.config_files import BalancerConfig, JsonObject, JsonValue
 from lotusroute.process_control.errors import NotReadyError
-from lotusroute.process_control.free_ports import ALLOCATABLE_PORTS, LOOPBACK, PortAllocator
+from lotusroute.process_control.free_ports import LOOPBACK, PortAllocator
 from lotusroute.process_control.process_start import PROGRAM, ProcessOptions, module_command, start_process
 from lotusroute.process_control.readiness import wait_until_ready
 
@@ -28,11 +27,7 @@
     "siblings": 1,
     "me": 0,
 }
-WORKER_INDEX = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-WORKER_COUNT = int(os.environ.get("PYTEST_XDIST_WORKER_COUNT", "1"))
-# Each pytest worker has a separate set of ports, from a range that the system does not assign. Otherwise a
-# process that takes seconds to bind its port could find it in use, and would exit.
-PORTS = PortAllocator(ALLOCATABLE_PORTS[WORKER_INDEX::WORKER_COUNT])
+PORTS = PortAllocator()
 
 
 def free_port() -> int:
--- a/tests/test_process_control.py
+++ b/tests/test_process_control.py
@@ -6,6 +6,7 @@
 
 import io
 import json
+import multiprocessing
 import os
 import signal
 import socket
@@ -22,8 +23,18 @@
 from lotusroute.fleet.config import load_fleet_config
 from lotusroute.process_control import config_files
 from lotusroute.process_control.discovery_server import DiscoveryServer
-from lotusroute.process_control.errors import LogTimeoutError, NotReadyError, ProcessEndedError
-from lotusroute.process_control.free_ports import PortAllocator, system_assigned_port
+from lotusroute.process_control.errors import (
+    LogTimeoutError,
+    NoFreePortsError,
+    NotReadyError,
+    ProcessEndedError,
+)
+from lotusroute.process_control.free_ports import (
+    ALLOCATABLE_PORTS,
+    BLOCK_SIZE,
+    PortAllocator,
+    system_assigned_port,
+)
 from lotusroute.process_control.log_follower import WaitableList, follow_lines
 from lotusroute.process_control.logged_process import LoggedProcess
 from lotusroute.process_control.process_start import ProcessOptions, module_command, start_process
@@ -122,6 +133,46 @@
         assert {allocator.allocate(), allocator.allocate()} == {first, second}
 
 
+def test_processes_that_run_at_the_same_time_allocate_disjoint_ports():
+    # Their number is above that of the ports in a block, so each process reserves a second one.
+    count, processes = BLOCK_SIZE + 50, 4
+    context = multiprocessing.get_context("fork")
+    barrier = context.Barrier(processes)
+    results = context.Queue()
+
+    def allocate():
+        allocator = PortAllocator()
+        ports = [allocator.allocate() for _ in range(count)]
+        results.put(ports)
+        barrier.wait(10.0)  # a reservation ends with its process
+
+    children = [context.Process(target=allocate, daemon=True) for _ in range(processes)]
+    for child in children:
+        child.start()
+    allocated = [results.get(timeout=10.0) for _ in children]
+    for child in children:
+        child.join(10.0)
+    assert len({port for ports in allocated for port in ports}) == processes * count
+
+
+def test_a_forked_process_does_not_use_the_ports_of_its_parent():
+    allocator = PortAllocator()
+    parent_port = allocator.allocate()
+    context = multiprocessing.get_context("fork")
+    results = context.Queue()
+    child = context.Process(target=lambda: results.put(allocator.allocate()), daemon=True)
+    child.start()
+    child_port = results.get(timeout=10.0)
+    child.join(10.0)
+    blocks = {(port - ALLOCATABLE_PORTS.start) // BLOCK_SIZE for port in (child_port, parent_port)}
+    assert len(blocks) == 2
+
+
+def test_an_allocator_without_a_free_port_raises_an_error():
+    with pytest.raises(NoFreePortsError):
+        PortAllocator([]).allocate()
+
+
 def test_system_assigned_port_is_free():
     with socket.create_server(("127.0.0.1", system_assigned_port())) as listener:
         assert listener.getsockname()[0] == "127.0.0.1"
