--- a/lotusroute/capacity/hollow_subscribers.py
+++ b/lotusroute/capacity/hollow_subscribers.py
@@ -21,10 +21,10 @@
 from lotusroute.net import structured_log
 from lotusroute.net.discovery import Discovery
 from lotusroute.net.endpoint_list import EndpointUpdate
-from lotusroute.net.poll_schedule import PollLimits
 from lotusroute.net.reactor import reactor
 from lotusroute.relay.config import parse_relays_config
 from lotusroute.relay.subscription import Subscription
+from lotusroute.timing.poll_schedule import PollLimits
 
 # Time between the starts of two subscribers, long enough for the relays to accept each one. A subscriber that
 # is not accepted in time falls back to polling discovery. Thousands that start at once on one machine would
--- a/lotusroute/capacity/reconnect_storm.py
+++ b/lotusroute/capacity/reconnect_storm.py
@@ -16,10 +16,10 @@
 from lotusroute.capacity.discovery_resource import DiscoveryResource
 from lotusroute.capacity.stubs import DISCARD_PORT
 from lotusroute.net.discovery import Discovery
-from lotusroute.net.poll_schedule import PollLimits
 from lotusroute.net.reactor import reactor
 from lotusroute.process_control.config_files import endpoint_entry
 from lotusroute.process_control.free_ports import LOOPBACK
+from lotusroute.timing.poll_schedule import PollLimits
 
 # Time after discovery becomes available in which polls count as part of the storm.
 STORM_DURATION_S = 10.0
--- a/lotusroute/net/balancer.py
+++ b/lotusroute/net/balancer.py
@@ -21,7 +21,6 @@
 from lotusroute.net.flow_table import FlowTable
 from lotusroute.net.line_protocol import ERR
 from lotusroute.net.lingering_upstreams import LingeringUpstreams
-from lotusroute.net.poll_schedule import MAX_UPDATE_DELAY_S
 from lotusroute.net.shutdown import GracefulShutdown, PendingWork
 from lotusroute.net.startup_gate import StartupGate
 from lotusroute.net.structured_log import LOGGER, Counters, log_event
@@ -29,6 +28,7 @@
 from lotusroute.routing import events
 from lotusroute.routing.director import Director
 from lotusroute.routing.start_times import StartTimes
+from lotusroute.timing.poll_schedule import MAX_UPDATE_DELAY_S
 
 # Smallest difference between a server's start time in the endpoint list and its corrected one that is logged.
 MIN_LOGGED_CORRECTION_MS = 100.0
--- a/lotusroute/net/connection_monitor.py
+++ b/lotusroute/net/connection_monitor.py
@@ -14,11 +14,11 @@
 from lotusroute.net.balancer_context import BalancerContext
 from lotusroute.net.flow import ActiveFlow
 from lotusroute.net.flow_endings import FlowEndings
-from lotusroute.net.progress import STALLED_PEER_TIMEOUT_MS
 from lotusroute.net.reasons import MigrationReason
 from lotusroute.net.structured_log import LOGGER, log_event
 from lotusroute.net.upstream_events import ReplyTimed
 from lotusroute.routing import events
+from lotusroute.timing.progress import STALLED_PEER_TIMEOUT_MS
 
 # Time between two checks. Whether a server is slow is judged by its reply delays since the last check.
 CHECK_INTERVAL_MS = 1_000.0
--- a/lotusroute/net/discovery.py
+++ b/lotusroute/net/discovery.py
@@ -29,7 +29,11 @@
     parse_endpoint_list,
     parse_version,
 )
-from lotusroute.net.poll_schedule import (
+from lotusroute.net.reactor import reactor
+from lotusroute.net.response_body import STATUS_OK
+from lotusroute.net.structured_log import log_event
+from lotusroute.routing.events import ListScope
+from lotusroute.timing.poll_schedule import (
     ASSUMED_DRAIN_GRACE_MS,
     LONG_POLL_HOLD_MS,
     MAX_UPDATE_DELAY_S,
@@ -38,10 +42,6 @@
     PollStage,
     PollTiming,
 )
-from lotusroute.net.reactor import reactor
-from lotusroute.net.response_body import STATUS_OK
-from lotusroute.net.structured_log import log_event
-from lotusroute.routing.events import ListScope
 
 # Statuses of a rejected poll. They say nothing about the polled version, which may still be valid.
 REJECTION_STATUSES = frozenset((429, 502, 503, 504))
--- a/lotusroute/net/discovery_session.py
+++ b/lotusroute/net/discovery_session.py
@@ -20,13 +20,13 @@
     parse_endpoint_list,
     parse_version,
 )
-from lotusroute.net.poll_schedule import (
+from lotusroute.net.structured_log import Counters, log_event
+from lotusroute.routing.events import ListScope
+from lotusroute.timing.poll_schedule import (
     MAX_UPDATE_DELAY_AFTER_RELOAD_S,
     MAX_UPDATE_DELAY_S,
     PollLimits,
 )
-from lotusroute.net.structured_log import Counters, log_event
-from lotusroute.routing.events import ListScope
 
 
 class DiscoverySession:
--- a/lotusroute/net/downstream.py
+++ b/lotusroute/net/downstream.py
@@ -21,9 +21,9 @@
 from lotusroute.net.line_protocol import BUSY, ERR, LINE_END, MAX_LINE_LENGTH, MOVE, PING, PONG, LineProtocol
 from lotusroute.net.linger import LingerRules
 from lotusroute.net.open_request import parse_open_request
-from lotusroute.net.progress import STALLED_PEER_TIMEOUT_MS
 from lotusroute.net.structured_log import log_event
 from lotusroute.net.upstream_attempt import UpstreamAttempt
+from lotusroute.timing.progress import STALLED_PEER_TIMEOUT_MS
 
 # Longest time from connecting to a complete first line. The protocol requires that a connection on which no
 # first line arrives is closed within 3 s.
--- a/lotusroute/net/flow.py
+++ b/lotusroute/net/flow.py
@@ -14,10 +14,10 @@
 from lotusroute.net.errors import NoUpstreamError
 from lotusroute.net.line_protocol import ERR
 from lotusroute.net.open_request import OpenRequest
-from lotusroute.net.progress import ProgressTracker, TransferState
 from lotusroute.net.structured_log import LOGGER, log_event
 from lotusroute.net.upstream_attempt import UpstreamAttempt
 from lotusroute.routing import events
+from lotusroute.timing.progress import ProgressTracker, TransferState
 
 MIN_SEND_GRACE_MS = 50.0  # the protocol extends every time limit by this much, also a drain grace of 0
 
--- a/lotusroute/net/flow_endings.py
+++ b/lotusroute/net/flow_endings.py
@@ -12,7 +12,11 @@
 from lotusroute.net.flow import ActiveFlow
 from lotusroute.net.flow_attempts import FlowAttempts
 from lotusroute.net.line_protocol import ERR
-from lotusroute.net.progress import (
+from lotusroute.net.reasons import AnswerReason, EndReason, MigrationReason
+from lotusroute.net.request_admission import SHUTDOWN_RETRY_AFTER_MS
+from lotusroute.net.upstream_events import AttemptStage
+from lotusroute.routing import events
+from lotusroute.timing.progress import (
     PROGRESS_CHECK_INTERVAL_MS,
     SERVER_CLOSE_GRACE_MS,
     STALLED_PEER_TIMEOUT_MS,
@@ -20,10 +24,6 @@
     ProgressTracker,
     TransferState,
 )
-from lotusroute.net.reasons import AnswerReason, EndReason, MigrationReason
-from lotusroute.net.request_admission import SHUTDOWN_RETRY_AFTER_MS
-from lotusroute.net.upstream_events import AttemptStage
-from lotusroute.routing import events
 
 # Migrations after which the server or this process is gone.
 FORCED_MIGRATIONS = frozenset({MigrationReason.SERVER_DRAINS, MigrationReason.SHUTDOWN})
--- a/lotusroute/net/line_protocol.py
+++ b/lotusroute/net/line_protocol.py
@@ -19,9 +19,9 @@
 
 from lotusroute.monotonic_clock import MS_PER_SECOND
 from lotusroute.net.linger import Linger, LingerRules
-from lotusroute.net.progress import PROGRESS_CHECK_INTERVAL_MS, ProgressTracker
 from lotusroute.net.send_queue import unacknowledged_bytes
 from lotusroute.net.structured_log import log_event, log_exception
+from lotusroute.timing.progress import PROGRESS_CHECK_INTERVAL_MS, ProgressTracker
 
 # Longest text of a line. By the protocol a line is at most 4 KiB long and ended by CRLF; whether the ending
 # counts is open, so a line is accepted that is within the limit either way.
--- a/lotusroute/net/linger.py
+++ b/lotusroute/net/linger.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Hashable
 from dataclasses import dataclass
 
-from lotusroute.net.progress import STALLED_PEER_TIMEOUT_MS, ProgressTracker
+from lotusroute.timing.progress import STALLED_PEER_TIMEOUT_MS, ProgressTracker
 
 
 def _never_stalled(_now: float) -> float:
--- a/lotusroute/net/upstream_connection.py
+++ b/lotusroute/net/upstream_connection.py
@@ -9,17 +9,17 @@
 from lotusroute.net.backpressure import Backpressure
 from lotusroute.net.line_protocol import BUSY, BYE, LINE_END, LOAD, MOVE, RECEIPT, LineProtocol, command_of
 from lotusroute.net.linger import LingerRules
-from lotusroute.net.progress import (
-    SERVER_CLOSE_GRACE_MS,
-    STALLED_PEER_TIMEOUT_MS,
-    UNRESPONSIVE_TIMEOUT_MS,
-    TransferState,
-)
 from lotusroute.net.reasons import EndReason
 from lotusroute.net.reply_tracker import ReplyTracker
 from lotusroute.net.upstream_events import AttemptStage, LoadReported, ReceiptReceived, ReplyTimed
 from lotusroute.routing.events import ConnectionResult
 from lotusroute.service_config import parse_number
+from lotusroute.timing.progress import (
+    SERVER_CLOSE_GRACE_MS,
+    STALLED_PEER_TIMEOUT_MS,
+    UNRESPONSIVE_TIMEOUT_MS,
+    TransferState,
+)
 
 if TYPE_CHECKING:
     from lotusroute.net.upstream_attempt import UpstreamAttempt
--- a/tests/test_endpoint_updates.py
+++ b/tests/test_endpoint_updates.py
@@ -12,7 +12,7 @@
 from lotusroute.address import Address
 from lotusroute.net import structured_log
 from lotusroute.net.discovery import Discovery, DiscoveryFailed
-from lotusroute.net.poll_schedule import PollStage
+from lotusroute.timing.poll_schedule import PollStage
 
 AGENT_SETTINGS = {**SETTINGS, "discovery": "push", "rules": {"stop_sending_within": 500}}
 
--- a/tests/test_poll_schedule.py
+++ b/tests/test_poll_schedule.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lotusroute.net.poll_schedule import (
+from lotusroute.timing.poll_schedule import (
     MAX_AGENT_BACKOFF_S,
     MAX_BACKOFF_S,
     MAX_UPDATE_DELAY_AFTER_RELOAD_S,
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -14,9 +14,9 @@
 from lotusroute.address import Address
 from lotusroute.net.discovery import Discovery
 from lotusroute.net.discovery_request import DiscoveryRequest, HttpResponse
-from lotusroute.net.poll_schedule import PollTiming
 from lotusroute.net.structured_log import Counters
 from lotusroute.process_control.config_files import endpoint_entry
+from lotusroute.timing.poll_schedule import PollTiming
 
 # By the protocol, a change counts as received this long after discovery has it.
 MAX_UPDATE_DELAY_S = 6.0
