Move: what the connections of both sides share to net/transport/

line_protocol, linger, send_queue, backpressure and transports, which is tcp_transports now. Nothing else changes; deploy/balancer.toml names the whole of net/.

--- a/lotusroute/net/admission.py
+++ b/lotusroute/net/admission.py
@@ -8,8 +8,8 @@
 from lotusroute.net.config import BalancerConfig
 from lotusroute.net.event_loop import EventLoop
 from lotusroute.net.flow_table import FlowTable
-from lotusroute.net.line_protocol import BUSY
 from lotusroute.net.open_request import OpenRequest
+from lotusroute.net.transport.line_protocol import BUSY
 
 # Descriptors reserved for the process itself and for connections without a flow: the process's limit divided
 # by the divisor, but at least the minimum.
--- a/lotusroute/net/downstream.py
+++ b/lotusroute/net/downstream.py
@@ -18,10 +18,19 @@
 
 from lotusroute.errors import ProtocolError
 from lotusroute.net.downstream_events import DownstreamClosed, RequestReceived
-from lotusroute.net.line_protocol import BUSY, ERR, LINE_END, MAX_LINE_LENGTH, MOVE, PING, PONG, LineProtocol
-from lotusroute.net.linger import LingerRules
 from lotusroute.net.open_request import parse_open_request
 from lotusroute.net.structured_log import log_event
+from lotusroute.net.transport.line_protocol import (
+    BUSY,
+    ERR,
+    LINE_END,
+    MAX_LINE_LENGTH,
+    MOVE,
+    PING,
+    PONG,
+    LineProtocol,
+)
+from lotusroute.net.transport.linger import LingerRules
 from lotusroute.net.upstream_attempt import UpstreamAttempt
 from lotusroute.timing.progress import STALLED_PEER_TIMEOUT_MS
 
--- a/lotusroute/net/existing_connections.py
+++ b/lotusroute/net/existing_connections.py
@@ -9,8 +9,8 @@
 
 from lotusroute.net.balancer_context import BalancerContext
 from lotusroute.net.flow import ActiveFlow
-from lotusroute.net.line_protocol import ERR
 from lotusroute.net.reasons import AnswerReason
+from lotusroute.net.transport.line_protocol import ERR
 from lotusroute.routing.events import NEVER_RAN, ConnectionResult, Idempotency
 
 # Longest time from a request until its existing connection is given up. The protocol counts the connection as
--- a/lotusroute/net/flow.py
+++ b/lotusroute/net/flow.py
@@ -12,9 +12,9 @@
 
 from lotusroute.net.downstream import DownstreamConnection
 from lotusroute.net.errors import NoUpstreamError
-from lotusroute.net.line_protocol import ERR
 from lotusroute.net.open_request import OpenRequest
 from lotusroute.net.structured_log import LOGGER, log_event
+from lotusroute.net.transport.line_protocol import ERR
 from lotusroute.net.upstream_attempt import UpstreamAttempt
 from lotusroute.routing import events
 from lotusroute.timing.progress import ProgressTracker, TransferState
--- a/lotusroute/net/flow_commands.py
+++ b/lotusroute/net/flow_commands.py
@@ -8,9 +8,9 @@
 from lotusroute.net.final_answers import FinalAnswers
 from lotusroute.net.flow_attempts import FlowAttempts
 from lotusroute.net.flow_endings import FlowEndings
-from lotusroute.net.line_protocol import ERR
 from lotusroute.net.reasons import MigrationReason
 from lotusroute.net.structured_log import log_event
+from lotusroute.net.transport.line_protocol import ERR
 from lotusroute.routing import events
 
 
--- a/lotusroute/net/flow_endings.py
+++ b/lotusroute/net/flow_endings.py
@@ -11,9 +11,9 @@
 from lotusroute.net.final_answers import FinalAnswers
 from lotusroute.net.flow import ActiveFlow
 from lotusroute.net.flow_attempts import FlowAttempts
-from lotusroute.net.line_protocol import ERR
 from lotusroute.net.reasons import AnswerReason, EndReason, MigrationReason
 from lotusroute.net.request_admission import SHUTDOWN_RETRY_AFTER_MS
+from lotusroute.net.transport.line_protocol import ERR
 from lotusroute.net.upstream_events import AttemptStage
 from lotusroute.routing import events
 from lotusroute.timing.progress import (
--- a/lotusroute/net/backpressure.py
+++ b/lotusroute/net/transport/backpressure.py
@@ -6,7 +6,7 @@
 from zope.interface import implementer
 
 if TYPE_CHECKING:
-    from lotusroute.net.line_protocol import LineProtocol
+    from lotusroute.net.transport.line_protocol import LineProtocol
 
 
 @implementer(IPushProducer)
--- a/lotusroute/net/line_protocol.py
+++ b/lotusroute/net/transport/line_protocol.py
@@ -18,9 +18,9 @@
 from zope.interface import implementer
 
 from lotusroute.monotonic_clock import MS_PER_SECOND
-from lotusroute.net.linger import Linger, LingerRules
-from lotusroute.net.send_queue import unacknowledged_bytes
 from lotusroute.net.structured_log import log_event, log_exception
+from lotusroute.net.transport.linger import Linger, LingerRules
+from lotusroute.net.transport.send_queue import unacknowledged_bytes
 from lotusroute.timing.progress import PROGRESS_CHECK_INTERVAL_MS, ProgressTracker
 
 # Longest text of a line. By the protocol a line is at most 4 KiB long and ended by CRLF; whether the ending
--- a/lotusroute/net/upstream_attempt.py
+++ b/lotusroute/net/upstream_attempt.py
@@ -19,7 +19,7 @@
 from lotusroute.net.lingering_upstreams import LingeringUpstreams
 from lotusroute.net.reactor import reactor
 from lotusroute.net.reasons import EndReason
-from lotusroute.net.transports import UpstreamConnector
+from lotusroute.net.transport.tcp_transports import UpstreamConnector
 from lotusroute.net.upstream_connection import UpstreamConnection
 from lotusroute.net.upstream_events import AttemptEnded, AttemptStage
 from lotusroute.routing.events import ConnectionResult
--- a/lotusroute/net/upstream_connection.py
+++ b/lotusroute/net/upstream_connection.py
@@ -6,11 +6,20 @@
 from typing import TYPE_CHECKING
 
 from lotusroute.errors import InvalidValueError
-from lotusroute.net.backpressure import Backpressure
-from lotusroute.net.line_protocol import BUSY, BYE, LINE_END, LOAD, MOVE, RECEIPT, LineProtocol, command_of
-from lotusroute.net.linger import LingerRules
 from lotusroute.net.reasons import EndReason
 from lotusroute.net.reply_tracker import ReplyTracker
+from lotusroute.net.transport.backpressure import Backpressure
+from lotusroute.net.transport.line_protocol import (
+    BUSY,
+    BYE,
+    LINE_END,
+    LOAD,
+    MOVE,
+    RECEIPT,
+    LineProtocol,
+    command_of,
+)
+from lotusroute.net.transport.linger import LingerRules
 from lotusroute.net.upstream_events import AttemptStage, LoadReported, ReceiptReceived, ReplyTimed
 from lotusroute.routing.events import ConnectionResult
 from lotusroute.service_config import parse_number
--- a/tests/test_connection_endings.py
+++ b/tests/test_connection_endings.py
@@ -25,7 +25,7 @@
 from flow_helpers import close_connection, descriptor_count, reset_connection
 from waiting import TIMEOUT_S, wait_until
 
-from lotusroute.net.send_queue import unacknowledged_bytes
+from lotusroute.net.transport.send_queue import unacknowledged_bytes
 
 SERVER_CLOSE_GRACE_S = 2.0
 LARGE_RECEIVE_BUFFER_BYTES = 200_000  # what the system grants without a privilege; it doubles the figure
--- a/tests/test_downstream.py
+++ b/tests/test_downstream.py
@@ -10,7 +10,7 @@
 from flow_helpers import descriptor_count
 from waiting import TIMEOUT_S, wait_until
 
-from lotusroute.net.line_protocol import LineProtocol
+from lotusroute.net.transport.line_protocol import LineProtocol
 
 MALFORMED_FIRST_LINES = [
     b"",
--- a/tests/test_golden_bytes_clients.py
+++ b/tests/test_golden_bytes_clients.py
@@ -11,12 +11,12 @@
 from golden_bytes_support import NOW, exchange
 from twisted.internet import task
 
-from lotusroute.net import line_protocol
 from lotusroute.net.admission import busy_line
 from lotusroute.net.downstream import DownstreamConnection
 from lotusroute.net.lingering_upstreams import LingeringUpstreams
 from lotusroute.net.listener import BalancerHooks, DownstreamFactory
 from lotusroute.net.open_request import parse_open_request
+from lotusroute.net.transport import line_protocol
 
 
 @pytest.mark.parametrize(
