Move: connections to servers to net/upstream/

upstream_connection, upstream_attempt, upstream_events and lingering_upstreams lose their prefix; reply_tracker moves with them. Nothing else changes.

--- a/lotusroute/net/balancer.py
+++ b/lotusroute/net/balancer.py
@@ -19,12 +19,12 @@
 from lotusroute.net.event_loop import CoalescedTimer, EventLoop
 from lotusroute.net.flow_manager import FlowManager
 from lotusroute.net.flow_table import FlowTable
-from lotusroute.net.lingering_upstreams import LingeringUpstreams
 from lotusroute.net.shutdown import GracefulShutdown, PendingWork
 from lotusroute.net.startup_gate import StartupGate
 from lotusroute.net.structured_log import LOGGER, Counters, log_event
 from lotusroute.net.transport.line_protocol import ERR
-from lotusroute.net.upstream_events import ReplyTimed
+from lotusroute.net.upstream.events import ReplyTimed
+from lotusroute.net.upstream.lingering import LingeringUpstreams
 from lotusroute.routing import events
 from lotusroute.routing.director import Director
 from lotusroute.routing.start_times import StartTimes
--- a/lotusroute/net/balancer_context.py
+++ b/lotusroute/net/balancer_context.py
@@ -6,8 +6,8 @@
 from lotusroute.net.endpoints import EndpointRegistry
 from lotusroute.net.event_loop import CoalescedTimer, EventLoop
 from lotusroute.net.flow_table import FlowTable
-from lotusroute.net.lingering_upstreams import LingeringUpstreams
 from lotusroute.net.structured_log import Counters
+from lotusroute.net.upstream.lingering import LingeringUpstreams
 
 
 @dataclass(frozen=True, slots=True)
--- a/lotusroute/net/connection_monitor.py
+++ b/lotusroute/net/connection_monitor.py
@@ -16,7 +16,7 @@
 from lotusroute.net.flow_endings import FlowEndings
 from lotusroute.net.reasons import MigrationReason
 from lotusroute.net.structured_log import LOGGER, log_event
-from lotusroute.net.upstream_events import ReplyTimed
+from lotusroute.net.upstream.events import ReplyTimed
 from lotusroute.routing import events
 from lotusroute.timing.progress import STALLED_PEER_TIMEOUT_MS
 
--- a/lotusroute/net/downstream.py
+++ b/lotusroute/net/downstream.py
@@ -31,7 +31,7 @@
     LineProtocol,
 )
 from lotusroute.net.transport.linger import LingerRules
-from lotusroute.net.upstream_attempt import UpstreamAttempt
+from lotusroute.net.upstream.attempt import UpstreamAttempt
 from lotusroute.timing.progress import STALLED_PEER_TIMEOUT_MS
 
 # Longest time from connecting to a complete first line. The protocol requires that a connection on which no
--- a/lotusroute/net/flow.py
+++ b/lotusroute/net/flow.py
@@ -15,7 +15,7 @@
 from lotusroute.net.open_request import OpenRequest
 from lotusroute.net.structured_log import LOGGER, log_event
 from lotusroute.net.transport.line_protocol import ERR
-from lotusroute.net.upstream_attempt import UpstreamAttempt
+from lotusroute.net.upstream.attempt import UpstreamAttempt
 from lotusroute.routing import events
 from lotusroute.timing.progress import ProgressTracker, TransferState
 
--- a/lotusroute/net/flow_attempts.py
+++ b/lotusroute/net/flow_attempts.py
@@ -13,8 +13,8 @@
 from lotusroute.net.flow import ActiveFlow
 from lotusroute.net.reasons import EndReason
 from lotusroute.net.transport.line_protocol import ERR
-from lotusroute.net.upstream_attempt import AttemptContext, UpstreamAttempt
-from lotusroute.net.upstream_events import AttemptEnded, AttemptStage, LoadReported, ReceiptReceived
+from lotusroute.net.upstream.attempt import AttemptContext, UpstreamAttempt
+from lotusroute.net.upstream.events import AttemptEnded, AttemptStage, LoadReported, ReceiptReceived
 from lotusroute.routing import events
 
 
--- a/lotusroute/net/flow_endings.py
+++ b/lotusroute/net/flow_endings.py
@@ -14,7 +14,7 @@
 from lotusroute.net.reasons import AnswerReason, EndReason, MigrationReason
 from lotusroute.net.request_admission import SHUTDOWN_RETRY_AFTER_MS
 from lotusroute.net.transport.line_protocol import ERR
-from lotusroute.net.upstream_events import AttemptStage
+from lotusroute.net.upstream.events import AttemptStage
 from lotusroute.routing import events
 from lotusroute.timing.progress import (
     PROGRESS_CHECK_INTERVAL_MS,
--- a/lotusroute/net/flow_manager.py
+++ b/lotusroute/net/flow_manager.py
@@ -11,7 +11,7 @@
 from lotusroute.net.flow_commands import FlowCommands
 from lotusroute.net.flow_endings import FlowEndings, ServerCloseCheck
 from lotusroute.net.request_admission import RequestAdmission
-from lotusroute.net.upstream_events import AttemptEnded, LoadReported, ReceiptReceived
+from lotusroute.net.upstream.events import AttemptEnded, LoadReported, ReceiptReceived
 from lotusroute.routing import events
 from lotusroute.routing.director import Director
 
--- a/lotusroute/net/listener.py
+++ b/lotusroute/net/listener.py
@@ -15,9 +15,9 @@
 from twisted.internet.protocol import ServerFactory
 
 from lotusroute.net.downstream import DownstreamConnection
-from lotusroute.net.lingering_upstreams import LingeringUpstreams
 from lotusroute.net.transport.line_protocol import BUSY
 from lotusroute.net.transport.tcp_transports import DownstreamTransport
+from lotusroute.net.upstream.lingering import LingeringUpstreams
 
 # Largest number of connections that are accepted in one iteration of the reactor. All other sockets are
 # served in between, so that a connection storm shares the CPU with them.
--- a/lotusroute/net/upstream_attempt.py
+++ b/lotusroute/net/upstream/attempt.py
@@ -16,12 +16,12 @@
 from twisted.python.failure import Failure
 
 from lotusroute.address import Address
-from lotusroute.net.lingering_upstreams import LingeringUpstreams
 from lotusroute.net.reactor import reactor
 from lotusroute.net.reasons import EndReason
 from lotusroute.net.transport.tcp_transports import UpstreamConnector
-from lotusroute.net.upstream_connection import UpstreamConnection
-from lotusroute.net.upstream_events import AttemptEnded, AttemptStage
+from lotusroute.net.upstream.connection import UpstreamConnection
+from lotusroute.net.upstream.events import AttemptEnded, AttemptStage
+from lotusroute.net.upstream.lingering import LingeringUpstreams
 from lotusroute.routing.events import ConnectionResult
 
 
--- a/lotusroute/net/upstream_connection.py
+++ b/lotusroute/net/upstream/connection.py
@@ -7,7 +7,6 @@
 
 from lotusroute.errors import InvalidValueError
 from lotusroute.net.reasons import EndReason
-from lotusroute.net.reply_tracker import ReplyTracker
 from lotusroute.net.transport.backpressure import Backpressure
 from lotusroute.net.transport.line_protocol import (
     BUSY,
@@ -20,7 +19,8 @@
     command_of,
 )
 from lotusroute.net.transport.linger import LingerRules
-from lotusroute.net.upstream_events import AttemptStage, LoadReported, ReceiptReceived, ReplyTimed
+from lotusroute.net.upstream.events import AttemptStage, LoadReported, ReceiptReceived, ReplyTimed
+from lotusroute.net.upstream.reply_tracker import ReplyTracker
 from lotusroute.routing.events import ConnectionResult
 from lotusroute.service_config import parse_number
 from lotusroute.timing.progress import (
@@ -31,7 +31,7 @@
 )
 
 if TYPE_CHECKING:
-    from lotusroute.net.upstream_attempt import UpstreamAttempt
+    from lotusroute.net.upstream.attempt import UpstreamAttempt
 
 # The result for each answer that rejects a flow; any other answer but a receipt is an error.
 REJECTION_RESULTS = {BUSY: ConnectionResult.FULL, MOVE: ConnectionResult.CANCELLED}
--- a/lotusroute/net/upstream_events.py
+++ b/lotusroute/net/upstream/events.py
@@ -7,7 +7,7 @@
 from lotusroute.routing.events import ConnectionResult
 
 if TYPE_CHECKING:
-    from lotusroute.net.upstream_attempt import UpstreamAttempt
+    from lotusroute.net.upstream.attempt import UpstreamAttempt
 
 
 class AttemptStage(IntEnum):
--- a/tests/test_client_disconnects.py
+++ b/tests/test_client_disconnects.py
@@ -23,8 +23,8 @@
 from twisted.internet.task import Clock
 from waiting import TIMEOUT_S, wait_until
 
-from lotusroute.net.lingering_upstreams import LingeringUpstreams
 from lotusroute.net.listener import BalancerHooks, DownstreamFactory
+from lotusroute.net.upstream.lingering import LingeringUpstreams
 
 
 @pytest.mark.parametrize(
--- a/tests/test_fault_isolation.py
+++ b/tests/test_fault_isolation.py
@@ -17,7 +17,7 @@
 from lotusroute.net.endpoint_list import EndpointUpdate
 from lotusroute.net.open_request import parse_open_request
 from lotusroute.net.structured_log import Counters
-from lotusroute.net.upstream_events import AttemptStage
+from lotusroute.net.upstream.events import AttemptStage
 from lotusroute.routing import events
 from lotusroute.routing.director import Director
 
--- a/tests/test_golden_bytes_clients.py
+++ b/tests/test_golden_bytes_clients.py
@@ -13,10 +13,10 @@
 
 from lotusroute.net.admission import busy_line
 from lotusroute.net.downstream import DownstreamConnection
-from lotusroute.net.lingering_upstreams import LingeringUpstreams
 from lotusroute.net.listener import BalancerHooks, DownstreamFactory
 from lotusroute.net.open_request import parse_open_request
 from lotusroute.net.transport import line_protocol
+from lotusroute.net.upstream.lingering import LingeringUpstreams
 
 
 @pytest.mark.parametrize(
--- a/tests/test_upstream.py
+++ b/tests/test_upstream.py
@@ -11,10 +11,10 @@
 from flow_helpers import reset_connection
 from waiting import wait_until
 
-from lotusroute.net.reply_tracker import MAX_TIMED_LINES
-from lotusroute.net.upstream_attempt import AttemptContext, UpstreamAttempt
-from lotusroute.net.upstream_connection import UpstreamConnection
-from lotusroute.net.upstream_events import AttemptStage
+from lotusroute.net.upstream.attempt import AttemptContext, UpstreamAttempt
+from lotusroute.net.upstream.connection import UpstreamConnection
+from lotusroute.net.upstream.events import AttemptStage
+from lotusroute.net.upstream.reply_tracker import MAX_TIMED_LINES
 
 
 def test_flows_are_retried_elsewhere_after_a_full_and_an_unreachable_server_with_one_attempt_at_a_time():
