--- a/lotusroute/__main__.py
+++ b/lotusroute/__main__.py
@@ -43,7 +43,7 @@
 from lotusroute.errors import ConfigError, InvalidValueError
 from lotusroute.net import config, structured_log
 from lotusroute.net.balancer import BalancerCore
-from lotusroute.net.discovery_session import DiscoverySession, parse_cached_list
+from lotusroute.net.discovery.session import DiscoverySession, parse_cached_list
 from lotusroute.net.listener import BalancerHooks, DownstreamFactory, Listener
 from lotusroute.net.reactor import reactor
 
--- a/lotusroute/capacity/direct_discovery_clients.py
+++ b/lotusroute/capacity/direct_discovery_clients.py
@@ -13,7 +13,7 @@
 from lotusroute.capacity import member_process
 from lotusroute.capacity.member_settings import MemberSettings
 from lotusroute.net import structured_log
-from lotusroute.net.discovery import Discovery
+from lotusroute.net.discovery.client import Discovery
 
 START_INTERVAL_S = 0.005  # time between the starts of two clients
 
--- a/lotusroute/capacity/endpoint_list_role.py
+++ b/lotusroute/capacity/endpoint_list_role.py
@@ -7,7 +7,7 @@
 
 from lotusroute.capacity.measurement import Measurement, MeasurementOptions
 from lotusroute.capacity.processes import check_footprint
-from lotusroute.net.endpoint_list import parse_endpoint_list
+from lotusroute.net.discovery.endpoint_list import parse_endpoint_list
 from lotusroute.process_control.config_files import endpoint_entry
 from lotusroute.routing import events
 from lotusroute.routing.director import Director
--- a/lotusroute/capacity/hollow_balancers.py
+++ b/lotusroute/capacity/hollow_balancers.py
@@ -15,7 +15,7 @@
 from lotusroute.capacity.member_settings import HollowBalancerSettings
 from lotusroute.fleet import config, lease_service, shared_discovery
 from lotusroute.net import structured_log
-from lotusroute.net.discovery import Discovery
+from lotusroute.net.discovery.client import Discovery
 from lotusroute.net.reactor import reactor
 from lotusroute.timing.poll_schedule import PollLimits
 
--- a/lotusroute/capacity/hollow_subscribers.py
+++ b/lotusroute/capacity/hollow_subscribers.py
@@ -19,8 +19,8 @@
 from lotusroute.capacity.deployment import FLEET_NAME
 from lotusroute.capacity.member_settings import HollowSubscriberSettings, SubscriberReport
 from lotusroute.net import structured_log
-from lotusroute.net.discovery import Discovery
-from lotusroute.net.endpoint_list import EndpointUpdate
+from lotusroute.net.discovery.client import Discovery
+from lotusroute.net.discovery.endpoint_list import EndpointUpdate
 from lotusroute.net.reactor import reactor
 from lotusroute.relay.config import parse_relays_config
 from lotusroute.relay.subscription import Subscription
--- a/lotusroute/capacity/reconnect_storm.py
+++ b/lotusroute/capacity/reconnect_storm.py
@@ -15,7 +15,7 @@
 from lotusroute.address import Address
 from lotusroute.capacity.discovery_resource import DiscoveryResource
 from lotusroute.capacity.stubs import DISCARD_PORT
-from lotusroute.net.discovery import Discovery
+from lotusroute.net.discovery.client import Discovery
 from lotusroute.net.reactor import reactor
 from lotusroute.process_control.config_files import endpoint_entry
 from lotusroute.process_control.free_ports import LOOPBACK
--- a/lotusroute/fleet/shared_discovery.py
+++ b/lotusroute/fleet/shared_discovery.py
@@ -15,8 +15,8 @@
 from lotusroute.fleet.errors import CallError, DeposedHolderError, UpdateNotFollowedError
 from lotusroute.fleet.lease_service import LeaseService
 from lotusroute.fleet.peer_connection import MAX_BODY_BYTES
-from lotusroute.net.discovery_source import DiscoveryClient
-from lotusroute.net.endpoint_list import EndpointListMessage
+from lotusroute.net.discovery.endpoint_list import EndpointListMessage
+from lotusroute.net.discovery.update_source import DiscoveryClient
 from lotusroute.net.interruptible_wait import InterruptibleWait
 from lotusroute.net.structured_log import log_event
 from lotusroute.timing.poll_schedule import LONG_POLL_HOLD_MS
--- a/lotusroute/net/discovery.py
+++ b/lotusroute/net/discovery/client.py
@@ -20,17 +20,17 @@
 from lotusroute.address import Address
 from lotusroute.errors import ProtocolError
 from lotusroute.monotonic_clock import MS_PER_SECOND
-from lotusroute.net.discovery_request import DiscoveryRequest, DiscoveryRequester, HttpResponse
-from lotusroute.net.discovery_source import UpdateSource
-from lotusroute.net.endpoint_list import (
+from lotusroute.net.discovery.endpoint_list import (
     MALFORMED_LIST_ERRORS,
     EndpointListMessage,
     EndpointUpdate,
     parse_endpoint_list,
     parse_version,
 )
+from lotusroute.net.discovery.request import DiscoveryRequest, DiscoveryRequester, HttpResponse
+from lotusroute.net.discovery.response_body import STATUS_OK
+from lotusroute.net.discovery.update_source import UpdateSource
 from lotusroute.net.reactor import reactor
-from lotusroute.net.response_body import STATUS_OK
 from lotusroute.net.structured_log import log_event
 from lotusroute.routing.events import ListScope
 from lotusroute.timing.poll_schedule import (
--- a/lotusroute/net/discovery_request.py
+++ b/lotusroute/net/discovery/request.py
@@ -14,9 +14,9 @@
 from twisted.python.failure import Failure
 from twisted.web.client import Agent, HTTPConnectionPool
 
+from lotusroute.net.discovery.response_body import read_body
 from lotusroute.net.errors import PollTimedOutError
 from lotusroute.net.reactor import reactor
-from lotusroute.net.response_body import read_body
 from lotusroute.timing.poll_schedule import REQUEST_TIMEOUT_S, PollStage, PollTiming
 
 Result = TypeVar("Result")
--- a/lotusroute/net/discovery_session.py
+++ b/lotusroute/net/discovery/session.py
@@ -12,14 +12,14 @@
 
 from lotusroute.errors import ConfigError, InvalidValueError
 from lotusroute.net import config
-from lotusroute.net.discovery import Discovery
-from lotusroute.net.discovery_source import UpdateSource
-from lotusroute.net.endpoint_list import (
+from lotusroute.net.discovery.client import Discovery
+from lotusroute.net.discovery.endpoint_list import (
     MALFORMED_LIST_ERRORS,
     EndpointUpdate,
     parse_endpoint_list,
     parse_version,
 )
+from lotusroute.net.discovery.update_source import UpdateSource
 from lotusroute.net.structured_log import Counters, log_event
 from lotusroute.routing.events import ListScope
 from lotusroute.timing.poll_schedule import (
--- a/lotusroute/net/discovery_source.py
+++ b/lotusroute/net/discovery/update_source.py
@@ -7,7 +7,7 @@
 
 from typing import Protocol
 
-from lotusroute.net.endpoint_list import EndpointListMessage
+from lotusroute.net.discovery.endpoint_list import EndpointListMessage
 
 
 class DiscoveryClient(Protocol):
--- a/lotusroute/net/endpoints.py
+++ b/lotusroute/net/endpoints.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 
 from lotusroute.address import Address
-from lotusroute.net.endpoint_list import EndpointUpdate
+from lotusroute.net.discovery.endpoint_list import EndpointUpdate
 from lotusroute.routing.events import EndpointState, ListScope
 
 # The clients of a draining server migrate over this time, because the server stops within seconds.
--- a/lotusroute/relay/discovery_forwarder.py
+++ b/lotusroute/relay/discovery_forwarder.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from lotusroute.net.discovery_source import DiscoveryClient
+from lotusroute.net.discovery.update_source import DiscoveryClient
 from lotusroute.relay import endpoint_items
 from lotusroute.relay.versioned_store import Delta, Update, VersionedStore
 
--- a/lotusroute/relay/endpoint_items.py
+++ b/lotusroute/relay/endpoint_items.py
@@ -8,7 +8,7 @@
 import json
 from typing import Any, NamedTuple
 
-from lotusroute.net.endpoint_list import EndpointListMessage
+from lotusroute.net.discovery.endpoint_list import EndpointListMessage
 from lotusroute.relay.versioned_store import Changes, VersionedStore
 
 LIST_METADATA_KEY = "#list"
--- a/lotusroute/relay/origin.py
+++ b/lotusroute/relay/origin.py
@@ -6,9 +6,9 @@
 from twisted.internet import defer
 
 from lotusroute.address import Address
-from lotusroute.net.discovery import Discovery
-from lotusroute.net.discovery_source import DiscoveryClient
-from lotusroute.net.endpoint_list import EndpointListMessage
+from lotusroute.net.discovery.client import Discovery
+from lotusroute.net.discovery.endpoint_list import EndpointListMessage
+from lotusroute.net.discovery.update_source import DiscoveryClient
 from lotusroute.net.structured_log import log_event
 from lotusroute.relay import endpoint_items
 from lotusroute.relay.context import RelayContext
--- a/lotusroute/relay/update_source.py
+++ b/lotusroute/relay/update_source.py
@@ -12,8 +12,8 @@
 
 from twisted.internet.base import ReactorBase
 
-from lotusroute.net.discovery_source import DiscoveryClient
-from lotusroute.net.endpoint_list import EndpointListMessage
+from lotusroute.net.discovery.endpoint_list import EndpointListMessage
+from lotusroute.net.discovery.update_source import DiscoveryClient
 from lotusroute.net.interruptible_wait import InterruptibleWait
 from lotusroute.relay.discovery_forwarder import DiscoveryForwarder
 from lotusroute.relay.relay_selector import RelaySelector
--- a/tests/test_endpoint_updates.py
+++ b/tests/test_endpoint_updates.py
@@ -11,7 +11,7 @@
 
 from lotusroute.address import Address
 from lotusroute.net import structured_log
-from lotusroute.net.discovery import Discovery, DiscoveryFailed
+from lotusroute.net.discovery.client import Discovery, DiscoveryFailed
 from lotusroute.timing.poll_schedule import PollStage
 
 AGENT_SETTINGS = {**SETTINGS, "discovery": "push", "rules": {"stop_sending_within": 500}}
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lotusroute.address import Address
-from lotusroute.net.endpoint_list import EndpointUpdate
+from lotusroute.net.discovery.endpoint_list import EndpointUpdate
 from lotusroute.net.endpoints import DRAIN_MIGRATION_SPREAD_MS, EndpointRegistry
 from lotusroute.routing import events
 
--- a/tests/test_response_body.py
+++ b/tests/test_response_body.py
@@ -5,7 +5,7 @@
 from fake_servers import FakeServer
 from waiting import wait_until
 
-from lotusroute.net.response_body import MAX_BODY_BYTES
+from lotusroute.net.discovery.response_body import MAX_BODY_BYTES
 
 WHOLE = 10 * MAX_BODY_BYTES  # more bytes than any answer has
 
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -12,8 +12,8 @@
 from waiting import TIMEOUT_S, wait_until
 
 from lotusroute.address import Address
-from lotusroute.net.discovery import Discovery
-from lotusroute.net.discovery_request import DiscoveryRequest, HttpResponse
+from lotusroute.net.discovery.client import Discovery
+from lotusroute.net.discovery.request import DiscoveryRequest, HttpResponse
 from lotusroute.net.structured_log import Counters
 from lotusroute.process_control.config_files import endpoint_entry
 from lotusroute.timing.poll_schedule import PollTiming
