--- a/lotusroute/__main__.py
+++ b/lotusroute/__main__.py
@@ -44,7 +44,7 @@
 from lotusroute.net import config, structured_log
 from lotusroute.net.balancer import BalancerCore
 from lotusroute.net.discovery.session import DiscoverySession, parse_cached_list
-from lotusroute.net.listener import BalancerHooks, DownstreamFactory, Listener
+from lotusroute.net.downstream.listener import BalancerHooks, DownstreamFactory, Listener
 from lotusroute.net.reactor import reactor
 
 if TYPE_CHECKING:
--- a/lotusroute/net/balancer.py
+++ b/lotusroute/net/balancer.py
@@ -13,7 +13,7 @@
 from lotusroute.net.config import BalancerConfig
 from lotusroute.net.connection_monitor import CHECK_INTERVAL_MS, ConnectionMonitor, PeriodicCheck
 from lotusroute.net.discovery.endpoint_list import EndpointUpdate
-from lotusroute.net.downstream_events import RequestReceived
+from lotusroute.net.downstream.events import RequestReceived
 from lotusroute.net.draining import MIGRATION_INTERVAL_MS, BatchMigrator, DrainStep, ServerDraining
 from lotusroute.net.endpoints import EndpointRegistry
 from lotusroute.net.event_loop import CoalescedTimer, EventLoop
--- a/lotusroute/net/downstream.py
+++ b/lotusroute/net/downstream/connection.py
@@ -17,8 +17,8 @@
 from twisted.python.failure import Failure
 
 from lotusroute.errors import ProtocolError
-from lotusroute.net.downstream_events import DownstreamClosed, RequestReceived
-from lotusroute.net.open_request import parse_open_request
+from lotusroute.net.downstream.events import DownstreamClosed, RequestReceived
+from lotusroute.net.downstream.open_request import parse_open_request
 from lotusroute.net.structured_log import log_event
 from lotusroute.net.transport.line_protocol import (
     BUSY,
--- a/lotusroute/net/downstream_events.py
+++ b/lotusroute/net/downstream/events.py
@@ -3,8 +3,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from lotusroute.net.downstream import DownstreamConnection
-    from lotusroute.net.open_request import OpenRequest
+    from lotusroute.net.downstream.connection import DownstreamConnection
+    from lotusroute.net.downstream.open_request import OpenRequest
 
 
 class RequestReceived(NamedTuple):
--- a/lotusroute/net/listener.py
+++ b/lotusroute/net/downstream/listener.py
@@ -14,7 +14,7 @@
 from twisted.internet.interfaces import IAddress
 from twisted.internet.protocol import ServerFactory
 
-from lotusroute.net.downstream import DownstreamConnection
+from lotusroute.net.downstream.connection import DownstreamConnection
 from lotusroute.net.transport.line_protocol import BUSY
 from lotusroute.net.transport.tcp_transports import DownstreamTransport
 from lotusroute.net.upstream.lingering import LingeringUpstreams
--- a/lotusroute/net/flow.py
+++ b/lotusroute/net/flow.py
@@ -10,9 +10,9 @@
 
 from twisted.internet.base import DelayedCall
 
-from lotusroute.net.downstream import DownstreamConnection
+from lotusroute.net.downstream.connection import DownstreamConnection
+from lotusroute.net.downstream.open_request import OpenRequest
 from lotusroute.net.errors import NoUpstreamError
-from lotusroute.net.open_request import OpenRequest
 from lotusroute.net.structured_log import LOGGER, log_event
 from lotusroute.net.transport.line_protocol import ERR
 from lotusroute.net.upstream.attempt import UpstreamAttempt
--- a/lotusroute/net/flow_endings.py
+++ b/lotusroute/net/flow_endings.py
@@ -6,8 +6,8 @@
 from typing import NamedTuple
 
 from lotusroute.net.balancer_context import BalancerContext
-from lotusroute.net.downstream import LINGER_TIMEOUT_MS
-from lotusroute.net.downstream_events import DownstreamClosed
+from lotusroute.net.downstream.connection import LINGER_TIMEOUT_MS
+from lotusroute.net.downstream.events import DownstreamClosed
 from lotusroute.net.final_answers import FinalAnswers
 from lotusroute.net.flow import ActiveFlow
 from lotusroute.net.flow_attempts import FlowAttempts
--- a/lotusroute/net/request_admission.py
+++ b/lotusroute/net/request_admission.py
@@ -7,8 +7,8 @@
 
 from lotusroute.net.admission import AdmissionControl, AdmissionResult
 from lotusroute.net.balancer_context import BalancerContext
-from lotusroute.net.downstream import DownstreamConnection
-from lotusroute.net.downstream_events import RequestReceived
+from lotusroute.net.downstream.connection import DownstreamConnection
+from lotusroute.net.downstream.events import RequestReceived
 from lotusroute.net.existing_connections import EXISTING_TIMEOUT_MS, ExistingConnections
 from lotusroute.net.final_answers import FinalAnswers
 from lotusroute.routing import events
--- a/lotusroute/net/startup_gate.py
+++ b/lotusroute/net/startup_gate.py
@@ -13,7 +13,7 @@
 
 from twisted.internet.base import DelayedCall
 
-from lotusroute.net.downstream_events import RequestReceived
+from lotusroute.net.downstream.events import RequestReceived
 from lotusroute.net.event_loop import EventLoop, Handlers
 from lotusroute.net.request_admission import RequestAdmission
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -11,8 +11,8 @@
     AdmissionControl,
     AdmissionResult,
 )
+from lotusroute.net.downstream.open_request import parse_open_request
 from lotusroute.net.flow_table import FlowTable
-from lotusroute.net.open_request import parse_open_request
 from lotusroute.routing import events
 
 LIVE = events.ServiceType(300.0)
--- a/tests/test_client_disconnects.py
+++ b/tests/test_client_disconnects.py
@@ -23,7 +23,7 @@
 from twisted.internet.task import Clock
 from waiting import TIMEOUT_S, wait_until
 
-from lotusroute.net.listener import BalancerHooks, DownstreamFactory
+from lotusroute.net.downstream.listener import BalancerHooks, DownstreamFactory
 from lotusroute.net.upstream.lingering import LingeringUpstreams
 
 
--- a/tests/test_config_reload.py
+++ b/tests/test_config_reload.py
@@ -13,8 +13,8 @@
 from lotusroute.errors import InvalidValueError
 from lotusroute.net import config, structured_log
 from lotusroute.net.balancer import BalancerCore
-from lotusroute.net.downstream_events import RequestReceived
-from lotusroute.net.open_request import parse_open_request
+from lotusroute.net.downstream.events import RequestReceived
+from lotusroute.net.downstream.open_request import parse_open_request
 from lotusroute.routing import events
 
 VALID_CONFIG = {"name": "n", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": SETTINGS}
--- a/tests/test_fault_isolation.py
+++ b/tests/test_fault_isolation.py
@@ -14,8 +14,8 @@
 from lotusroute.net.config import load_config
 from lotusroute.net.discovery.client import Discovery
 from lotusroute.net.discovery.endpoint_list import EndpointUpdate
-from lotusroute.net.downstream_events import RequestReceived
-from lotusroute.net.open_request import parse_open_request
+from lotusroute.net.downstream.events import RequestReceived
+from lotusroute.net.downstream.open_request import parse_open_request
 from lotusroute.net.structured_log import Counters
 from lotusroute.net.upstream.events import AttemptStage
 from lotusroute.routing import events
--- a/tests/test_flow_table.py
+++ b/tests/test_flow_table.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from lotusroute.net.downstream.open_request import parse_open_request
 from lotusroute.net.flow_table import CLOSED_FLOW_ID_TTL_MS, MAX_CLOSED_FLOW_IDS, FlowTable
-from lotusroute.net.open_request import parse_open_request
 from lotusroute.routing import events
 
 
--- a/tests/test_waiting_requests.py
+++ b/tests/test_waiting_requests.py
@@ -9,7 +9,7 @@
 from fake_servers import FakeServer
 from waiting import TIMEOUT_S, wait_until
 
-from lotusroute.net.listener import ACCEPTS_PER_ITERATION
+from lotusroute.net.downstream.listener import ACCEPTS_PER_ITERATION
 from lotusroute.process_control.readiness import answers_health_check
 
 # By the protocol, an answer later than this after the client's timeout counts as none.
