Move: what joins clients and servers to net/flows/

flow_table, flow_manager, flow_attempts, flow_endings, flow_commands and balancer_context lose their prefix; admission, startup_gate, the monitor, drains and the shutdown move with them. net/ itself keeps the balancer, its configuration, the event loop, the clocks and the log. Nothing else changes.

--- a/lotusroute/net/balancer.py
+++ b/lotusroute/net/balancer.py
@@ -8,19 +8,19 @@
 from collections.abc import Callable, Iterable
 
 from lotusroute.monotonic_clock import MS_PER_SECOND
-from lotusroute.net.admission import AdmissionControl
-from lotusroute.net.balancer_context import BalancerContext
 from lotusroute.net.config import BalancerConfig
-from lotusroute.net.connection_monitor import CHECK_INTERVAL_MS, ConnectionMonitor, PeriodicCheck
 from lotusroute.net.discovery.endpoint_list import EndpointUpdate
 from lotusroute.net.downstream.events import RequestReceived
-from lotusroute.net.draining import MIGRATION_INTERVAL_MS, BatchMigrator, DrainStep, ServerDraining
-from lotusroute.net.endpoints import EndpointRegistry
 from lotusroute.net.event_loop import CoalescedTimer, EventLoop
-from lotusroute.net.flow_manager import FlowManager
-from lotusroute.net.flow_table import FlowTable
-from lotusroute.net.shutdown import GracefulShutdown, PendingWork
-from lotusroute.net.startup_gate import StartupGate
+from lotusroute.net.flows.admission import AdmissionControl
+from lotusroute.net.flows.connection_monitor import CHECK_INTERVAL_MS, ConnectionMonitor, PeriodicCheck
+from lotusroute.net.flows.context import BalancerContext
+from lotusroute.net.flows.draining import MIGRATION_INTERVAL_MS, BatchMigrator, DrainStep, ServerDraining
+from lotusroute.net.flows.endpoints import EndpointRegistry
+from lotusroute.net.flows.manager import FlowManager
+from lotusroute.net.flows.shutdown import GracefulShutdown, PendingWork
+from lotusroute.net.flows.startup_gate import StartupGate
+from lotusroute.net.flows.table import FlowTable
 from lotusroute.net.structured_log import LOGGER, Counters, log_event
 from lotusroute.net.transport.line_protocol import ERR
 from lotusroute.net.upstream.events import ReplyTimed
--- a/lotusroute/net/admission.py
+++ b/lotusroute/net/flows/admission.py
@@ -8,7 +8,7 @@
 from lotusroute.net.config import BalancerConfig
 from lotusroute.net.downstream.open_request import OpenRequest
 from lotusroute.net.event_loop import EventLoop
-from lotusroute.net.flow_table import FlowTable
+from lotusroute.net.flows.table import FlowTable
 from lotusroute.net.transport.line_protocol import BUSY
 
 # Descriptors reserved for the process itself and for connections without a flow: the process's limit divided
--- a/lotusroute/net/flow_attempts.py
+++ b/lotusroute/net/flows/attempts.py
@@ -6,11 +6,11 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from lotusroute.net.balancer_context import BalancerContext
 from lotusroute.net.errors import UnansweredFlowError
-from lotusroute.net.existing_connections import ExistingConnections
-from lotusroute.net.final_answers import FinalAnswers
-from lotusroute.net.flow import ActiveFlow
+from lotusroute.net.flows.context import BalancerContext
+from lotusroute.net.flows.existing_connections import ExistingConnections
+from lotusroute.net.flows.final_answers import FinalAnswers
+from lotusroute.net.flows.flow import ActiveFlow
 from lotusroute.net.reasons import EndReason
 from lotusroute.net.transport.line_protocol import ERR
 from lotusroute.net.upstream.attempt import AttemptContext, UpstreamAttempt
--- a/lotusroute/net/flow_commands.py
+++ b/lotusroute/net/flows/commands.py
@@ -2,12 +2,12 @@
 
 import math
 
-from lotusroute.net.balancer_context import BalancerContext
 from lotusroute.net.errors import UnknownServerError
 from lotusroute.net.event_loop import Handlers
-from lotusroute.net.final_answers import FinalAnswers
-from lotusroute.net.flow_attempts import FlowAttempts
-from lotusroute.net.flow_endings import FlowEndings
+from lotusroute.net.flows.attempts import FlowAttempts
+from lotusroute.net.flows.context import BalancerContext
+from lotusroute.net.flows.endings import FlowEndings
+from lotusroute.net.flows.final_answers import FinalAnswers
 from lotusroute.net.reasons import MigrationReason
 from lotusroute.net.structured_log import log_event
 from lotusroute.net.transport.line_protocol import ERR
--- a/lotusroute/net/connection_monitor.py
+++ b/lotusroute/net/flows/connection_monitor.py
@@ -11,9 +11,9 @@
 from statistics import median
 from typing import NamedTuple
 
-from lotusroute.net.balancer_context import BalancerContext
-from lotusroute.net.flow import ActiveFlow
-from lotusroute.net.flow_endings import FlowEndings
+from lotusroute.net.flows.context import BalancerContext
+from lotusroute.net.flows.endings import FlowEndings
+from lotusroute.net.flows.flow import ActiveFlow
 from lotusroute.net.reasons import MigrationReason
 from lotusroute.net.structured_log import LOGGER, log_event
 from lotusroute.net.upstream.events import ReplyTimed
--- a/lotusroute/net/balancer_context.py
+++ b/lotusroute/net/flows/context.py
@@ -3,9 +3,9 @@
 from dataclasses import dataclass
 
 from lotusroute.net.config import BalancerConfig
-from lotusroute.net.endpoints import EndpointRegistry
 from lotusroute.net.event_loop import CoalescedTimer, EventLoop
-from lotusroute.net.flow_table import FlowTable
+from lotusroute.net.flows.endpoints import EndpointRegistry
+from lotusroute.net.flows.table import FlowTable
 from lotusroute.net.structured_log import Counters
 from lotusroute.net.upstream.lingering import LingeringUpstreams
 
--- a/lotusroute/net/draining.py
+++ b/lotusroute/net/flows/draining.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from lotusroute.net.balancer_context import BalancerContext
-from lotusroute.net.flow import ActiveFlow
+from lotusroute.net.flows.context import BalancerContext
+from lotusroute.net.flows.flow import ActiveFlow
 from lotusroute.net.reasons import MigrationReason
 
 MIGRATION_INTERVAL_MS = 50.0  # the time between two batches of migrations
--- a/lotusroute/net/flow_endings.py
+++ b/lotusroute/net/flows/endings.py
@@ -5,14 +5,14 @@
 
 from typing import NamedTuple
 
-from lotusroute.net.balancer_context import BalancerContext
 from lotusroute.net.downstream.connection import LINGER_TIMEOUT_MS
 from lotusroute.net.downstream.events import DownstreamClosed
-from lotusroute.net.final_answers import FinalAnswers
-from lotusroute.net.flow import ActiveFlow
-from lotusroute.net.flow_attempts import FlowAttempts
+from lotusroute.net.flows.attempts import FlowAttempts
+from lotusroute.net.flows.context import BalancerContext
+from lotusroute.net.flows.final_answers import FinalAnswers
+from lotusroute.net.flows.flow import ActiveFlow
+from lotusroute.net.flows.request_admission import SHUTDOWN_RETRY_AFTER_MS
 from lotusroute.net.reasons import AnswerReason, EndReason, MigrationReason
-from lotusroute.net.request_admission import SHUTDOWN_RETRY_AFTER_MS
 from lotusroute.net.transport.line_protocol import ERR
 from lotusroute.net.upstream.events import AttemptStage
 from lotusroute.routing import events
--- a/lotusroute/net/existing_connections.py
+++ b/lotusroute/net/flows/existing_connections.py
@@ -7,8 +7,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from lotusroute.net.balancer_context import BalancerContext
-from lotusroute.net.flow import ActiveFlow
+from lotusroute.net.flows.context import BalancerContext
+from lotusroute.net.flows.flow import ActiveFlow
 from lotusroute.net.reasons import AnswerReason
 from lotusroute.net.transport.line_protocol import ERR
 from lotusroute.routing.events import NEVER_RAN, ConnectionResult, Idempotency
--- a/lotusroute/net/final_answers.py
+++ b/lotusroute/net/flows/final_answers.py
@@ -1,8 +1,8 @@
 """Sends the only answer of a flow that is not established. Times are milliseconds."""
 
-from lotusroute.net.admission import busy_line
-from lotusroute.net.balancer_context import BalancerContext
-from lotusroute.net.flow import ActiveFlow
+from lotusroute.net.flows.admission import busy_line
+from lotusroute.net.flows.context import BalancerContext
+from lotusroute.net.flows.flow import ActiveFlow
 from lotusroute.net.reasons import AnswerReason
 from lotusroute.routing.events import RejectReason
 
--- a/lotusroute/net/flow_manager.py
+++ b/lotusroute/net/flows/manager.py
@@ -1,16 +1,16 @@
 """Connects the components that handle flows: admission, attempts, endings and the Director's commands."""
 
-from lotusroute.net.admission import AdmissionControl
-from lotusroute.net.balancer_context import BalancerContext
-from lotusroute.net.decisions import DecisionExecutor
 from lotusroute.net.downstream.events import DownstreamClosed
 from lotusroute.net.event_loop import Handlers
-from lotusroute.net.existing_connections import RetryExisting
-from lotusroute.net.final_answers import FinalAnswers
-from lotusroute.net.flow_attempts import AttemptTimedOut, FlowAttempts
-from lotusroute.net.flow_commands import FlowCommands
-from lotusroute.net.flow_endings import FlowEndings, ServerCloseCheck
-from lotusroute.net.request_admission import RequestAdmission
+from lotusroute.net.flows.admission import AdmissionControl
+from lotusroute.net.flows.attempts import AttemptTimedOut, FlowAttempts
+from lotusroute.net.flows.commands import FlowCommands
+from lotusroute.net.flows.context import BalancerContext
+from lotusroute.net.flows.decisions import DecisionExecutor
+from lotusroute.net.flows.endings import FlowEndings, ServerCloseCheck
+from lotusroute.net.flows.existing_connections import RetryExisting
+from lotusroute.net.flows.final_answers import FinalAnswers
+from lotusroute.net.flows.request_admission import RequestAdmission
 from lotusroute.net.upstream.events import AttemptEnded, LoadReported, ReceiptReceived
 from lotusroute.routing import events
 from lotusroute.routing.director import Director
--- a/lotusroute/net/request_admission.py
+++ b/lotusroute/net/flows/request_admission.py
@@ -5,12 +5,12 @@
 
 from collections.abc import Callable
 
-from lotusroute.net.admission import AdmissionControl, AdmissionResult
-from lotusroute.net.balancer_context import BalancerContext
 from lotusroute.net.downstream.connection import DownstreamConnection
 from lotusroute.net.downstream.events import RequestReceived
-from lotusroute.net.existing_connections import EXISTING_TIMEOUT_MS, ExistingConnections
-from lotusroute.net.final_answers import FinalAnswers
+from lotusroute.net.flows.admission import AdmissionControl, AdmissionResult
+from lotusroute.net.flows.context import BalancerContext
+from lotusroute.net.flows.existing_connections import EXISTING_TIMEOUT_MS, ExistingConnections
+from lotusroute.net.flows.final_answers import FinalAnswers
 from lotusroute.routing import events
 
 DEADLINE_MARGIN_MS = 40.0  # a flow is answered this long before its timeout, to allow for a busy core
--- a/lotusroute/net/shutdown.py
+++ b/lotusroute/net/flows/shutdown.py
@@ -8,10 +8,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from lotusroute.net.admission import AdmissionControl
-from lotusroute.net.balancer_context import BalancerContext
-from lotusroute.net.draining import MIGRATION_INTERVAL_MS, BatchMigrator, DrainStep
-from lotusroute.net.flow_endings import FlowEndings
+from lotusroute.net.flows.admission import AdmissionControl
+from lotusroute.net.flows.context import BalancerContext
+from lotusroute.net.flows.draining import MIGRATION_INTERVAL_MS, BatchMigrator, DrainStep
+from lotusroute.net.flows.endings import FlowEndings
 from lotusroute.net.reasons import MigrationReason
 from lotusroute.net.structured_log import log_event
 
--- a/lotusroute/net/startup_gate.py
+++ b/lotusroute/net/flows/startup_gate.py
@@ -15,7 +15,7 @@
 
 from lotusroute.net.downstream.events import RequestReceived
 from lotusroute.net.event_loop import EventLoop, Handlers
-from lotusroute.net.request_admission import RequestAdmission
+from lotusroute.net.flows.request_admission import RequestAdmission
 
 FIRST_RESPONSE_TIMEOUT_MS = 1_000.0  # how long requests wait for discovery's first response
 
--- a/lotusroute/net/flow_table.py
+++ b/lotusroute/net/flows/table.py
@@ -10,7 +10,7 @@
 
 from lotusroute.net.downstream.connection import DownstreamConnection
 from lotusroute.net.downstream.open_request import OpenRequest
-from lotusroute.net.flow import ActiveFlow
+from lotusroute.net.flows.flow import ActiveFlow
 from lotusroute.routing.events import ServiceType
 
 CLOSED_FLOW_ID_TTL_MS = 60_000.0  # how long servers may still use the id of an ended flow
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -5,14 +5,14 @@
 
 import pytest
 
-from lotusroute.net.admission import (
+from lotusroute.net.downstream.open_request import parse_open_request
+from lotusroute.net.flows.admission import (
     EXISTING_ACCEPT_WINDOW_MS,
     MAX_BACKLOG,
     AdmissionControl,
     AdmissionResult,
 )
-from lotusroute.net.downstream.open_request import parse_open_request
-from lotusroute.net.flow_table import FlowTable
+from lotusroute.net.flows.table import FlowTable
 from lotusroute.routing import events
 
 LIVE = events.ServiceType(300.0)
--- a/tests/test_endpoints.py
+++ b/tests/test_endpoints.py
@@ -6,7 +6,7 @@
 
 from lotusroute.address import Address
 from lotusroute.net.discovery.endpoint_list import EndpointUpdate
-from lotusroute.net.endpoints import DRAIN_MIGRATION_SPREAD_MS, EndpointRegistry
+from lotusroute.net.flows.endpoints import DRAIN_MIGRATION_SPREAD_MS, EndpointRegistry
 from lotusroute.routing import events
 
 ADDRESS = Address("127.0.0.1", 9_000)
--- a/tests/test_flow_table.py
+++ b/tests/test_flow_table.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lotusroute.net.downstream.open_request import parse_open_request
-from lotusroute.net.flow_table import CLOSED_FLOW_ID_TTL_MS, MAX_CLOSED_FLOW_IDS, FlowTable
+from lotusroute.net.flows.table import CLOSED_FLOW_ID_TTL_MS, MAX_CLOSED_FLOW_IDS, FlowTable
 from lotusroute.routing import events
 
 
--- a/tests/test_golden_bytes_clients.py
+++ b/tests/test_golden_bytes_clients.py
@@ -11,10 +11,10 @@
 from golden_bytes_support import NOW, exchange
 from twisted.internet import task
 
-from lotusroute.net.admission import busy_line
 from lotusroute.net.downstream.connection import DownstreamConnection
 from lotusroute.net.downstream.listener import BalancerHooks, DownstreamFactory
 from lotusroute.net.downstream.open_request import parse_open_request
+from lotusroute.net.flows.admission import busy_line
 from lotusroute.net.transport import line_protocol
 from lotusroute.net.upstream.lingering import LingeringUpstreams
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -13,8 +13,8 @@
 from fake_servers import FakeServer
 from waiting import wait_until
 
-from lotusroute.net.draining import MIGRATION_INTERVAL_MS, BatchMigrator
-from lotusroute.net.endpoints import DRAIN_MIGRATION_SPREAD_MS
+from lotusroute.net.flows.draining import MIGRATION_INTERVAL_MS, BatchMigrator
+from lotusroute.net.flows.endpoints import DRAIN_MIGRATION_SPREAD_MS
 from lotusroute.net.reasons import MigrationReason
 
 
