Layers of net/: no import upwards, and no two modules of upstream/ import each other

What they use of it are two protocols now: Attempt in events.py, ConnectionOwner in connection.py. A handler takes the attempt that it passes to the client from the flow. Nothing that runs changes otherwise.

--- a/lotusroute/net/flows/attempts.py
+++ b/lotusroute/net/flows/attempts.py
@@ -14,7 +14,13 @@
 from lotusroute.net.reasons import EndReason
 from lotusroute.net.transport.line_protocol import ERR
 from lotusroute.net.upstream.attempt import AttemptContext, UpstreamAttempt
-from lotusroute.net.upstream.events import AttemptEnded, AttemptStage, LoadReported, ReceiptReceived
+from lotusroute.net.upstream.events import (
+    Attempt,
+    AttemptEnded,
+    AttemptStage,
+    LoadReported,
+    ReceiptReceived,
+)
 from lotusroute.routing import events
 
 
@@ -86,7 +92,7 @@
         self._counters["established"] += 1
         server = event.attempt.server
         flow.log_step("established", server=server, setup_ms=self._clock() - flow.attempt_started_at)
-        flow.downstream.attach_upstream(event.attempt, event.receipt)
+        flow.downstream.attach_upstream(flow.established_upstream, event.receipt)
         if self._endpoints.is_draining(server):
             self._drain_timer.schedule()
         if flow.request.existing_server:
@@ -152,7 +158,7 @@
     def connection_ended(
         self,
         flow: ActiveFlow,
-        attempt: UpstreamAttempt,
+        attempt: Attempt,
         result: events.ConnectionResult,
         reason: EndReason,
     ) -> None:
--- a/lotusroute/net/upstream/connection.py
+++ b/lotusroute/net/upstream/connection.py
@@ -1,9 +1,11 @@
 """The TCP connection of one attempt: it writes the first line, reads the server's answer and forwards lines.
 
-It reports to its `UpstreamAttempt`, or queues an event. Times are milliseconds.
+It reports to its attempt, or queues an event. Times are milliseconds.
 """
 
-from typing import TYPE_CHECKING
+from collections import Counter
+from collections.abc import Callable
+from typing import Protocol
 
 from lotusroute.errors import InvalidValueError
 from lotusroute.net.reasons import EndReason
@@ -19,7 +21,8 @@
     command_of,
 )
 from lotusroute.net.transport.linger import LingerRules
-from lotusroute.net.upstream.events import AttemptStage, LoadReported, ReceiptReceived, ReplyTimed
+from lotusroute.net.upstream.events import Attempt, AttemptStage, LoadReported, ReceiptReceived, ReplyTimed
+from lotusroute.net.upstream.lingering import LingeringUpstreams
 from lotusroute.net.upstream.reply_tracker import ReplyTracker
 from lotusroute.routing.events import ConnectionResult
 from lotusroute.service_config import parse_number
@@ -30,9 +33,6 @@
     TransferState,
 )
 
-if TYPE_CHECKING:
-    from lotusroute.net.upstream.attempt import UpstreamAttempt
-
 # The result for each answer that rejects a flow; any other answer but a receipt is an error.
 REJECTION_RESULTS = {BUSY: ConnectionResult.FULL, MOVE: ConnectionResult.CANCELLED}
 # The result to report at the end of an established connection, for each line that announces the end.
@@ -41,10 +41,30 @@
 COMMANDS_BESIDE_REPLIES = frozenset({LOAD, *RESULTS_OF_LAST_LINES})
 
 
+class ConnectionOwner(Attempt, Protocol):
+    """What a connection uses of the attempt that opened it."""
+
+    flow_number: int
+    line: bytes  # the part of the client's first line that is still to be written
+    stage: AttemptStage
+    may_send: Callable[[], bool]  # returns whether `line` may still be sent
+    enqueue: Callable[[object], None]  # queues an event that is defined in `events`
+    clock: Callable[[], float]
+    counters: Counter[str]
+    lingering: LingeringUpstreams
+
+    def result_if_broken(self) -> ConnectionResult:
+        """Return the result if the connection breaks now."""
+        ...
+
+    def report_end(self, result: ConnectionResult, reason: EndReason) -> None:
+        """Report the end, unless the attempt is over already."""
+
+
 class UpstreamConnection(LineProtocol):
     """The connection of one attempt."""
 
-    def __init__(self, attempt: "UpstreamAttempt") -> None:
+    def __init__(self, attempt: ConnectionOwner) -> None:
         self.attempt = attempt
         self.downstream: LineProtocol | None = None  # the client's connection, once the flow is established
         self.downstream_left = False  # whether the client has stopped sending or its connection was lost
--- a/lotusroute/net/upstream/events.py
+++ b/lotusroute/net/upstream/events.py
@@ -1,14 +1,11 @@
 """Events of connections to servers, and the stages of an attempt. Times are milliseconds."""
 
 from enum import IntEnum
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple, Protocol
 
 from lotusroute.net.reasons import EndReason
 from lotusroute.routing.events import ConnectionResult
 
-if TYPE_CHECKING:
-    from lotusroute.net.upstream.attempt import UpstreamAttempt
-
 
 class AttemptStage(IntEnum):
     """How far an attempt has come; the log contains the names in lower case."""
@@ -25,11 +22,22 @@
         return self.name.lower()
 
 
+class Attempt(Protocol):
+    """What the handler of an event uses of the attempt that queued it."""
+
+    server: str
+    final_stage: AttemptStage  # the last stage before `OVER`
+
+    def abort(self) -> ConnectionResult:
+        """Close the connection at once and return the result; from now on nothing is reported."""
+        ...
+
+
 class ReceiptReceived(NamedTuple):
     """A server has accepted a flow and sent its receipt."""
 
     flow_number: int
-    attempt: "UpstreamAttempt"
+    attempt: Attempt
     receipt: memoryview  # the line to forward to the client
 
 
@@ -37,7 +45,7 @@
     """An attempt, or the connection that it established, has ended."""
 
     flow_number: int
-    attempt: "UpstreamAttempt"
+    attempt: Attempt
     result: ConnectionResult
     reason: EndReason
 
