Deadlines of requests and retries of existing connections are computed in timing/

RequestAdmission and ExistingConnections mixed these computations with what they do with flows. No value changes.

--- a/lotusroute/net/flows/existing_connections.py
+++ b/lotusroute/net/flows/existing_connections.py
@@ -12,15 +12,7 @@
 from lotusroute.net.reasons import AnswerReason
 from lotusroute.net.transport.line_protocol import ERR
 from lotusroute.routing.events import NEVER_RAN, ConnectionResult, Idempotency
-
-# Longest time from a request until its existing connection is given up. The protocol counts the connection as
-# lost after 40 s.
-EXISTING_TIMEOUT_MS = 35_000.0
-# Time for a server to take an existing connection back. It is long because servers are busiest just after a
-# balancer's start.
-EXISTING_ATTEMPT_TIMEOUT_MS = 8_000.0
-# Backoff before the next attempt. It is multiplied by the number of attempts so far.
-EXISTING_RETRY_BACKOFF_MS = 1_000.0
+from lotusroute.timing.deadlines import existing_attempt_deadline, existing_retry_backoff
 
 
 class RetryExisting(NamedTuple):
@@ -52,7 +44,7 @@
         server = flow.request.existing_server
         if server is not None and self._endpoints.has_address(server):
             flow.reconnect_attempts += 1
-            deadline = min(flow.deadline, self._loop.clock() + EXISTING_ATTEMPT_TIMEOUT_MS)
+            deadline = existing_attempt_deadline(self._loop.clock(), flow.deadline)
             self._start_attempt(flow, server, deadline)
         else:
             self._retry_later(flow)
@@ -72,10 +64,10 @@
 
     def _retry_later(self, flow: ActiveFlow) -> None:
         exhausted = flow.reconnect_attempts >= self._max_attempts
-        if exhausted or self._loop.clock() + EXISTING_RETRY_BACKOFF_MS >= flow.deadline:
+        backoff = existing_retry_backoff(self._loop.clock(), flow.deadline, flow.reconnect_attempts)
+        if exhausted or backoff is None:
             self._give_up(flow)
         else:
-            backoff = EXISTING_RETRY_BACKOFF_MS * max(1, flow.reconnect_attempts)
             self._loop.call_later(backoff, RetryExisting(flow.number))
 
     def _give_up(self, flow: ActiveFlow) -> None:
--- a/lotusroute/net/flows/request_admission.py
+++ b/lotusroute/net/flows/request_admission.py
@@ -9,14 +9,11 @@
 from lotusroute.net.downstream.events import RequestReceived
 from lotusroute.net.flows.admission import AdmissionControl, AdmissionResult
 from lotusroute.net.flows.context import BalancerContext
-from lotusroute.net.flows.existing_connections import EXISTING_TIMEOUT_MS, ExistingConnections
+from lotusroute.net.flows.existing_connections import ExistingConnections
 from lotusroute.net.flows.final_answers import FinalAnswers
 from lotusroute.routing import events
+from lotusroute.timing.deadlines import request_deadline
 
-DEADLINE_MARGIN_MS = 40.0  # a flow is answered this long before its timeout, to allow for a busy core
-# Largest part of the client's timeout that the margin may take, so that a short timeout leaves time to serve
-# the flow.
-MAX_DEADLINE_MARGIN_FRACTION = 0.25
 # Retry-After for a flow that finds no capacity. Some connections end every second, which frees capacity.
 CAPACITY_RETRY_AFTER_MS = 1_000.0
 # Retry-After during the shutdown. After this time, the front end sends clients only to other balancers.
@@ -69,12 +66,8 @@
 
     def deadline(self, event: RequestReceived) -> float:
         """Return until when the request is to be answered."""
-        request = event.request
-        margin = min(DEADLINE_MARGIN_MS, MAX_DEADLINE_MARGIN_FRACTION * request.timeout)
-        timeout = request.timeout - margin
-        if request.existing_server:
-            timeout = min(timeout, EXISTING_TIMEOUT_MS)
-        return event.received_at + timeout
+        is_existing = bool(event.request.existing_server)
+        return request_deadline(event.received_at, event.request.timeout, is_existing)
 
     def _admit(self, event: RequestReceived) -> None:
         request = event.request
