A request that was held up for a moment does not count as long expired

Found by reading ArrivalTimes again: a wait that exceeded its timeout by 50 ms counted as suspended from its beginning, up to a second earlier, so a request with a short time that arrived just before a hold-up of a tenth of a second would have been refused. The wait counts as suspended before its end for as long as after it, or for 0.15 s.

Test: an example of ArrivalTimes; test_waiting_requests.py passes as before. The threshold that shows a suspension stands once.

--- a/lotusroute/net/discovery/request.py
+++ b/lotusroute/net/discovery/request.py
@@ -17,13 +17,11 @@
 from lotusroute.net.discovery.response_body import read_body
 from lotusroute.net.errors import PollTimedOutError
 from lotusroute.net.reactor import reactor
+from lotusroute.timing.arrival_times import SUSPENSION_THRESHOLD_S
 from lotusroute.timing.poll_schedule import REQUEST_TIMEOUT_S, PollStage, PollTiming
 
 Result = TypeVar("Result")
 
-# A timer that is later than this shows that the process was suspended. Its timeout then does not show that
-# discovery is not answering.
-SUSPENSION_THRESHOLD_S = 0.05
 # Least time between the starts of two late requests. A request that becomes late sooner after another one is
 # cancelled; so the number of connections to a silent discovery is limited.
 LATE_REQUEST_INTERVAL_S = 1.0
@@ -104,8 +102,9 @@
     def _start_timer(self, seconds: float, extension: float) -> None:
         """Let the timeout pass after `seconds`.
 
-        If this process was suspended in the meantime, the response may have arrived but not been read. The
-        request then has up to `extension` more seconds, in steps of one request timeout.
+        If this process was suspended in the meantime, which a late timer shows, the response may have arrived
+        but not been read. The request then has up to `extension` more seconds, in steps of one request
+        timeout.
         """
         deadline = reactor.seconds() + seconds
 
--- a/lotusroute/timing/arrival_times.py
+++ b/lotusroute/timing/arrival_times.py
@@ -8,6 +8,8 @@
 MIN_WAIT_S = 0.001
 # A wait that exceeds its timeout by this shows that the process was suspended in the meantime.
 SUSPENSION_THRESHOLD_S = 0.05
+# Suspensions up to this long are ordinary: the process was held up on a busy core.
+ORDINARY_SUSPENSION_S = 0.15
 
 
 class ArrivalTimes:
@@ -20,6 +22,10 @@
     def poll_returned(self, started_at: float, timeout: float | None, returned_at: float) -> None:
         """Record a wait for input; `timeout` is None if it had none.
 
+        A wait that exceeded its timeout is taken to have been suspended before its end for as long as after
+        it, or for an ordinary time. If it were taken to have been suspended from its beginning, a request
+        that was held up for a moment would count as long expired.
+
         >>> arrivals = ArrivalTimes(0.0)
         >>> arrivals.poll_returned(1.0, 0.5, 1.2)
         >>> arrivals.input_since
@@ -30,11 +36,16 @@
         >>> arrivals.poll_returned(2.0, 0.5, 4.0)  # the process was suspended
         >>> arrivals.input_since
         2.0
+        >>> arrivals.poll_returned(5.0, 1.0, 6.125)  # the process was held up
+        >>> arrivals.input_since
+        5.85
         """
         if returned_at - started_at < MIN_WAIT_S:
             self.input_since = self._returned_at
         elif timeout is not None and returned_at > started_at + timeout + SUSPENSION_THRESHOLD_S:
-            self.input_since = started_at
+            due_at = started_at + timeout
+            before_due = max(ORDINARY_SUSPENSION_S, returned_at - due_at)
+            self.input_since = max(started_at, due_at - before_due)
         else:
             self.input_since = returned_at
         self._returned_at = returned_at
