--- a/lotusroute/net/downstream/connection.py
+++ b/lotusroute/net/downstream/connection.py
@@ -51,7 +51,7 @@
 class ConnectionManager(Protocol):
     """What a connection uses of the factory that accepted it."""
 
-    enqueue: Callable[[object], None]  # queues an event that is defined in `downstream_events`
+    enqueue: Callable[[object], None]  # queues an event that is defined in `downstream.events`
     clock: Callable[[], float]
     # Returns whether flows can be served. A health check is answered PONG if so, else BUSY.
     ready: Callable[[], bool]
--- a/lotusroute/net/upstream/attempt.py
+++ b/lotusroute/net/upstream/attempt.py
@@ -29,7 +29,7 @@
 class AttemptContext:
     """The objects that all attempts of a balancer share."""
 
-    enqueue: Callable[[object], None]  # queues an event that is defined in `upstream_events`
+    enqueue: Callable[[object], None]  # queues an event that is defined in `upstream.events`
     clock: Callable[[], float]
     counters: Counter[str]
     lingering: LingeringUpstreams = field(default_factory=LingeringUpstreams)
--- a/lotusroute/net/upstream/connection.py
+++ b/lotusroute/net/upstream/connection.py
@@ -48,7 +48,7 @@
     line: bytes  # the part of the client's first line that is still to be written
     stage: AttemptStage
     may_send: Callable[[], bool]  # returns whether `line` may still be sent
-    enqueue: Callable[[object], None]  # queues an event that is defined in `events`
+    enqueue: Callable[[object], None]  # queues an event that is defined in `upstream.events`
     clock: Callable[[], float]
     counters: Counter[str]
     lingering: LingeringUpstreams
