PollLimits and the protocol's time limits have a module; backoffs are typed

The limits of polls are in poll_limits.py, and what a rejection leads to is a Backoff that one place draws from. No value and no draw changes: the tests of the schedule pass as they were.

--- a/lotusroute/capacity/hollow_balancers.py
+++ b/lotusroute/capacity/hollow_balancers.py
@@ -17,7 +17,7 @@
 from lotusroute.net import structured_log
 from lotusroute.net.discovery.client import Discovery
 from lotusroute.net.reactor import reactor
-from lotusroute.timing.poll_schedule import PollLimits
+from lotusroute.timing.poll_limits import PollLimits
 
 START_INTERVAL_S = 0.01  # time between the starts of two hollow balancers
 DRAIN_GRACE_MS = 2_000.0
--- a/lotusroute/capacity/hollow_subscribers.py
+++ b/lotusroute/capacity/hollow_subscribers.py
@@ -24,7 +24,7 @@
 from lotusroute.net.reactor import reactor
 from lotusroute.relay.config import parse_relays_config
 from lotusroute.relay.subscription import Subscription
-from lotusroute.timing.poll_schedule import PollLimits
+from lotusroute.timing.poll_limits import PollLimits
 
 # Time between the starts of two subscribers, long enough for the relays to accept each one. A subscriber that
 # is not accepted in time falls back to polling discovery. Thousands that start at once on one machine would
--- a/lotusroute/capacity/reconnect_storm.py
+++ b/lotusroute/capacity/reconnect_storm.py
@@ -19,7 +19,7 @@
 from lotusroute.net.reactor import reactor
 from lotusroute.process_control.config_files import endpoint_entry
 from lotusroute.process_control.free_ports import LOOPBACK
-from lotusroute.timing.poll_schedule import PollLimits
+from lotusroute.timing.poll_limits import PollLimits
 
 # Time after discovery becomes available in which polls count as part of the storm.
 STORM_DURATION_S = 10.0
--- a/lotusroute/fleet/shared_discovery.py
+++ b/lotusroute/fleet/shared_discovery.py
@@ -19,7 +19,7 @@
 from lotusroute.net.discovery.update_source import DiscoveryClient
 from lotusroute.net.interruptible_wait import InterruptibleWait
 from lotusroute.net.structured_log import log_event
-from lotusroute.timing.poll_schedule import LONG_POLL_HOLD_MS
+from lotusroute.timing.poll_limits import LONG_POLL_HOLD_MS
 
 TASK = "watch"  # the leased task, and the kind of the call that carries an update
 # Three heartbeats fit into HOLDER_TIMEOUT_MS, so that the loss of one has no effect.
--- a/lotusroute/net/balancer.py
+++ b/lotusroute/net/balancer.py
@@ -28,7 +28,7 @@
 from lotusroute.routing import events
 from lotusroute.routing.director import Director
 from lotusroute.routing.start_times import StartTimes
-from lotusroute.timing.poll_schedule import MAX_UPDATE_DELAY_S
+from lotusroute.timing.poll_limits import MAX_UPDATE_DELAY_S
 
 # Smallest difference between a server's start time in the endpoint list and its corrected one that is logged.
 MIN_LOGGED_CORRECTION_MS = 100.0
--- a/lotusroute/net/discovery/client.py
+++ b/lotusroute/net/discovery/client.py
@@ -33,15 +33,13 @@
 from lotusroute.net.reactor import reactor
 from lotusroute.net.structured_log import log_event
 from lotusroute.routing.events import ListScope
-from lotusroute.timing.poll_schedule import (
+from lotusroute.timing.poll_limits import (
     ASSUMED_DRAIN_GRACE_MS,
     LONG_POLL_HOLD_MS,
     MAX_UPDATE_DELAY_S,
     PollLimits,
-    PollSchedule,
-    PollStage,
-    PollTiming,
 )
+from lotusroute.timing.poll_schedule import PollSchedule, PollStage, PollTiming
 
 # Statuses of a rejected poll. They say nothing about the polled version, which may still be valid.
 REJECTION_STATUSES = frozenset((429, 502, 503, 504))
--- a/lotusroute/net/discovery/request.py
+++ b/lotusroute/net/discovery/request.py
@@ -18,7 +18,8 @@
 from lotusroute.net.errors import PollTimedOutError
 from lotusroute.net.reactor import reactor
 from lotusroute.timing.arrival_times import SUSPENSION_THRESHOLD_S
-from lotusroute.timing.poll_schedule import REQUEST_TIMEOUT_S, PollStage, PollTiming
+from lotusroute.timing.poll_limits import REQUEST_TIMEOUT_S
+from lotusroute.timing.poll_schedule import PollStage, PollTiming
 
 Result = TypeVar("Result")
 
--- a/lotusroute/net/discovery/session.py
+++ b/lotusroute/net/discovery/session.py
@@ -22,11 +22,7 @@
 from lotusroute.net.discovery.update_source import UpdateSource
 from lotusroute.net.structured_log import Counters, log_event
 from lotusroute.routing.events import ListScope
-from lotusroute.timing.poll_schedule import (
-    MAX_UPDATE_DELAY_AFTER_RELOAD_S,
-    MAX_UPDATE_DELAY_S,
-    PollLimits,
-)
+from lotusroute.timing.poll_limits import MAX_UPDATE_DELAY_AFTER_RELOAD_S, MAX_UPDATE_DELAY_S, PollLimits
 
 
 class DiscoverySession:
--- a/lotusroute/relay/update_source.py
+++ b/lotusroute/relay/update_source.py
@@ -17,7 +17,7 @@
 from lotusroute.net.interruptible_wait import InterruptibleWait
 from lotusroute.relay.discovery_forwarder import DiscoveryForwarder
 from lotusroute.relay.relay_selector import RelaySelector
-from lotusroute.timing.poll_schedule import MIN_REJECTION_BACKOFF_S, QUEUE_TIMEOUT_S
+from lotusroute.timing.poll_limits import MIN_REJECTION_BACKOFF_S, QUEUE_TIMEOUT_S
 
 CHECK_INTERVAL_S = 0.1  # time between two checks of whether to poll discovery
 # Time from the start of the balancer after which it polls discovery if it has received no list from a relay.
--- a/lotusroute/timing/poll_schedule.py
+++ b/lotusroute/timing/poll_schedule.py
@@ -11,37 +11,18 @@
 """
 
 import random
-from dataclasses import dataclass
 from enum import StrEnum
 from typing import NamedTuple
 
-from lotusroute.monotonic_clock import MS_PER_SECOND
+from lotusroute.timing.poll_limits import (
+    MAX_UPDATE_DELAY_S,
+    MIN_BACKOFF_S,
+    MIN_REJECTION_BACKOFF_S,
+    TIMING_MARGIN_S,
+    PollLimits,
+)
 from lotusroute.timing.round_trip_time import RoundTripTime
 
-# By the protocol, a change counts as received this long after discovery has it.
-MAX_UPDATE_DELAY_S = 6.0
-# What a new discovery has to tell counts as received this long after the reload that names its address.
-MAX_UPDATE_DELAY_AFTER_RELOAD_S = 4.0
-LONG_POLL_HOLD_MS = 2_000  # longest time for which discovery holds a poll while there are no changes
-# The grace that a client without service settings, such as a relay, assumes.
-ASSUMED_DRAIN_GRACE_MS = 2_000.0
-TIMING_MARGIN_S = 0.15  # allowance for a busy CPU and for network latency
-# Longest time that a poll waits in discovery's queue, behind the polls of other balancers, before it fails.
-QUEUE_TIMEOUT_S = 2.0
-# Timeout of a complete response, which is added to the hold. The shorter one applies if discovery queues no
-# polls: if the last response came within half of it after the hold.
-REQUEST_TIMEOUT_S = QUEUE_TIMEOUT_S + 0.3
-UNQUEUED_REQUEST_TIMEOUT_S = 1.0
-# Bounds of the timeout of an agent on this machine, which has the list and responds at once.
-MIN_AGENT_REQUEST_TIMEOUT_S = 0.1
-MAX_AGENT_REQUEST_TIMEOUT_S = 1.0
-# Longest backoff after a first failure. It must be shorter than the 200 ms that a watch event may take.
-MIN_BACKOFF_S = 0.1
-MAX_BACKOFF_S = 1.0
-MAX_AGENT_BACKOFF_S = 0.5  # shorter than for a remote discovery, because polls cost an agent almost nothing
-# Time reserved for the backoff after a rejection. It is long enough to spread the retries of 200 balancers
-# whose polls are rejected at the same time, so that these do not arrive as another storm.
-MIN_REJECTION_BACKOFF_S = 1.2
 # The fixed part of a backoff; the rest is random, so that the polls of many balancers spread.
 MIN_BACKOFF_FRACTION = 0.2
 # The fixed part of the last backoff after which a poll may still wait in the queue, and the shortest time
@@ -63,76 +44,24 @@
 UNANSWERED_STAGES = frozenset((PollStage.NO_RESPONSE, PollStage.PARTIAL_RESPONSE))
 
 
-@dataclass(frozen=True, slots=True)
-class PollLimits:
-    """Time limits of polls and backoffs."""
-
-    discovery_is_local_agent: bool
-    update_interval: float  # longest time from one complete response to the end of the next
-    request_timeout: float  # timeout of a complete response, which is added to the hold
-    unqueued_request_timeout: float  # the request timeout if discovery queues no polls
-    max_request_timeout: float  # the longest request timeout that measured times may lead to
-    queue_timeout: float
-    max_backoff: float
-
-    @classmethod
-    def for_remote_discovery(cls, drain_grace_ms: float) -> "PollLimits":
-        """Return the limits for a discovery that serves many balancers.
-
-        In the worst case, discovery comes back up just after a poll was sent that is never answered. The
-        timeout of that poll, the backoff after it, a rejection and a queued poll have to fit into the
-        interval.
-        """
-        update_interval = _update_interval(drain_grace_ms)
-        left = update_interval - REQUEST_TIMEOUT_S - MIN_REJECTION_BACKOFF_S - QUEUE_TIMEOUT_S
-        return cls(
-            discovery_is_local_agent=False,
-            update_interval=update_interval,
-            request_timeout=REQUEST_TIMEOUT_S,
-            unqueued_request_timeout=UNQUEUED_REQUEST_TIMEOUT_S,
-            max_request_timeout=REQUEST_TIMEOUT_S,
-            queue_timeout=QUEUE_TIMEOUT_S,
-            max_backoff=min(MAX_BACKOFF_S, max(MIN_BACKOFF_S, left)),
-        )
-
-    @classmethod
-    def for_local_agent(cls, drain_grace_ms: float) -> "PollLimits":
-        """Return the limits for an agent on this machine.
-
-        A change counts as received as soon as the agent has it, even if the agent cannot be reached. Half of
-        the grace is for the timeout that detects an unresponsive agent, a quarter for the backoff. An agent
-        has no queue.
-        """
-        grace = drain_grace_ms / MS_PER_SECOND
-        timeout = min(max(MIN_AGENT_REQUEST_TIMEOUT_S, grace / 2), MAX_AGENT_REQUEST_TIMEOUT_S)
-        return cls(
-            discovery_is_local_agent=True,
-            update_interval=_update_interval(drain_grace_ms),
-            request_timeout=timeout,
-            unqueued_request_timeout=timeout,
-            max_request_timeout=MAX_AGENT_REQUEST_TIMEOUT_S,
-            queue_timeout=0.0,
-            max_backoff=min(MAX_AGENT_BACKOFF_S, max(MIN_BACKOFF_S, grace / 4)),
-        )
-
-
-def _update_interval(drain_grace_ms: float) -> float:
-    return MAX_UPDATE_DELAY_S + drain_grace_ms / MS_PER_SECOND - TIMING_MARGIN_S
-
-
 class PollTiming(NamedTuple):
     """The times of one poll."""
 
     started_at: float
     hold: float  # how long discovery may hold the poll while there are no changes
-    timeout: (
-        float  # longest time until the complete response, including the hold, before the next poll is sent
-    )
+    timeout: float  # time until the complete response, including the hold, after which the next poll is sent
     body_timeout: float  # longest time from the first part of the response to its end, as part of the timeout
     lifetime: float  # longest time until the complete response for which it is of use
     suspension_extension: float  # longest extension of the timeout if this process was suspended meanwhile
 
 
+class Backoff(NamedTuple):
+    """How long to wait after a failed poll."""
+
+    longest: float
+    fixed_fraction: float = MIN_BACKOFF_FRACTION  # the part of it that is not random
+
+
 class PollSchedule:
     """Computes the times of polls and backoffs from the results of earlier polls."""
 
@@ -260,12 +189,14 @@
         """Return how long to wait after a failed poll; the upper bound grows with each failure."""
         if stage == PollStage.REJECTED:
             self._rejections += 1
-            return self._rejection_backoff(now, first=self._rejections == 1)
-        self._backoff = min(max(MIN_BACKOFF_S, 2 * self._backoff), self._limits.max_backoff)
-        return self._draw_backoff(MIN_BACKOFF_FRACTION)
+            backoff = self._rejection_backoff(now, first=self._rejections == 1)
+        else:
+            backoff = Backoff(min(max(MIN_BACKOFF_S, 2 * self._backoff), self._limits.max_backoff))
+        self._backoff = backoff.longest
+        return backoff.longest * self._rng.uniform(backoff.fixed_fraction, 1.0)
 
-    def _rejection_backoff(self, now: float, first: bool) -> float:
-        """Return how long to wait after a rejection.
+    def _rejection_backoff(self, now: float, first: bool) -> Backoff:
+        """Return the backoff after a rejection.
 
         Rejecting a poll costs discovery work too: the rejections of 40 balancers that retry every second keep
         it busy. So the backoff uses the time that is left, less what the next poll may wait in the queue. A
@@ -273,23 +204,18 @@
         """
         limits = self._limits
         if limits.discovery_is_local_agent:
-            self._backoff = limits.max_backoff
-            return self._draw_backoff(MIN_BACKOFF_FRACTION)
+            return Backoff(limits.max_backoff)
         left = self.remaining(now)
         before_queue = left - limits.queue_timeout
         interval = limits.update_interval - limits.queue_timeout
         if before_queue >= MIN_REJECTION_BACKOFF_S:
-            self._backoff = max(MIN_REJECTION_BACKOFF_S, min(interval / 2, before_queue))
-        elif before_queue >= MIN_LAST_BACKOFF_S:
-            self._backoff = before_queue
-            return self._draw_backoff(MIN_LAST_BACKOFF_FRACTION)
-        elif left >= MIN_REJECTION_BACKOFF_S or (first and left > 0):
+            return Backoff(max(MIN_REJECTION_BACKOFF_S, min(interval / 2, before_queue)))
+        if before_queue >= MIN_LAST_BACKOFF_S:
+            return Backoff(before_queue, MIN_LAST_BACKOFF_FRACTION)
+        if first and left > 0:
+            return Backoff(min(MIN_REJECTION_BACKOFF_S, left))
+        if left >= MIN_REJECTION_BACKOFF_S:
             # The response is late only if it waits in the queue for as long as discovery allows.
-            self._backoff = min(MIN_REJECTION_BACKOFF_S, left) if first else left
-        else:
-            # The response is late in any case, and the more polls are sent, the fewer discovery can answer.
-            self._backoff = interval
-        return self._draw_backoff(MIN_BACKOFF_FRACTION)
-
-    def _draw_backoff(self, fixed_fraction: float) -> float:
-        return self._backoff * self._rng.uniform(fixed_fraction, 1.0)
+            return Backoff(left)
+        # The response is late in any case, and the more polls are sent, the fewer discovery can answer.
+        return Backoff(interval)
--- a/tests/test_poll_schedule.py
+++ b/tests/test_poll_schedule.py
@@ -6,20 +6,22 @@
 
 import pytest
 
-from lotusroute.timing.poll_schedule import (
+from lotusroute.timing.poll_limits import (
     MAX_AGENT_BACKOFF_S,
     MAX_BACKOFF_S,
     MAX_UPDATE_DELAY_AFTER_RELOAD_S,
     MAX_UPDATE_DELAY_S,
-    MIN_BACKOFF_FRACTION,
     MIN_BACKOFF_S,
-    MIN_LAST_BACKOFF_FRACTION,
     MIN_REJECTION_BACKOFF_S,
     QUEUE_TIMEOUT_S,
     REQUEST_TIMEOUT_S,
     TIMING_MARGIN_S,
     UNQUEUED_REQUEST_TIMEOUT_S,
     PollLimits,
+)
+from lotusroute.timing.poll_schedule import (
+    MIN_BACKOFF_FRACTION,
+    MIN_LAST_BACKOFF_FRACTION,
     PollSchedule,
     PollStage,
 )
--- a/tests/test_relay_update_source.py
+++ b/tests/test_relay_update_source.py
@@ -13,7 +13,7 @@
 from lotusroute.relay.relay_selector import STALENESS_LIMIT_MS, RelaySelector
 from lotusroute.relay.update_source import CHECK_INTERVAL_S, FIRST_UPDATE_TIMEOUT_S, RelayUpdateSource
 from lotusroute.relay.versioned_store import VersionedStore
-from lotusroute.timing.poll_schedule import MIN_REJECTION_BACKOFF_S
+from lotusroute.timing.poll_limits import MIN_REJECTION_BACKOFF_S
 
 LIST = EndpointListUpdate(12, True, [{"host": "s-1"}])
 ADDRESS = "10.0.0.9:8500"  # address of the discovery service that RecordingDiscovery polls
