The bound of a request's arrival is computed only when a request is read

Each iteration of the reactor called ArrivalTimes, and each request computed its deadline twice and passed the gate's checks after it had opened. The reactor keeps the times of its wait, and earliest_arrival computes the bound from them.

--- a/lotusroute/net/flows/request_admission.py
+++ b/lotusroute/net/flows/request_admission.py
@@ -50,13 +50,14 @@
             # hundreds of clients whose disconnects were unread would fill the queue.
             self._counters["client_disconnects"] += 1
             return
-        if self.deadline(event) <= self._clock():
+        deadline = self.deadline(event)
+        if deadline <= self._clock():
             # The process was stalled, or requests were held for too long. No server could answer it in time.
             self._shed(downstream, EXPIRED_RETRY_AFTER_MS)
             return
         match self._admission.evaluate(event.request):
             case AdmissionResult.ACCEPTED:
-                self._admit(event)
+                self._admit(event, deadline)
             case AdmissionResult.MALFORMED:
                 downstream.reject_malformed()
             case AdmissionResult.SHUTTING_DOWN:
@@ -69,10 +70,10 @@
         is_existing = bool(event.request.existing_server)
         return request_deadline(event.received_at, event.request.timeout, is_existing)
 
-    def _admit(self, event: RequestReceived) -> None:
+    def _admit(self, event: RequestReceived, deadline: float) -> None:
         request = event.request
         flow = self._flow_table.add(
-            request, self._service_types[request.service_type], self.deadline(event), event.connection
+            request, self._service_types[request.service_type], deadline, event.connection
         )
         event.connection.flow_number = flow.number
         flow.log_step(
--- a/lotusroute/net/flows/startup_gate.py
+++ b/lotusroute/net/flows/startup_gate.py
@@ -55,9 +55,12 @@
             self._callbacks.append(callback)
 
     def _request_received(self, event: RequestReceived) -> None:
+        if self._is_open:
+            self._admission.request_received(event)
+            return
         self._requests.pop(event, None)
         time_left = self._admission.deadline(event) - self._loop.clock()
-        if self._is_open or time_left <= 0:
+        if time_left <= 0:
             self._admission.request_received(event)
         else:
             self._requests[event] = self._loop.call_later(time_left, event)
--- a/lotusroute/net/monotonic_reactor.py
+++ b/lotusroute/net/monotonic_reactor.py
@@ -12,7 +12,7 @@
 from twisted.internet import error, main
 
 from lotusroute.net.errors import WallClockReactorError
-from lotusroute.timing.arrival_times import ArrivalTimes
+from lotusroute.timing.arrival_times import earliest_arrival
 
 if TYPE_CHECKING:
     from twisted.internet.base import ReactorBase
@@ -56,6 +56,8 @@
 
         return MonotonicSelectReactor
 
+    monotonic = time.monotonic  # a local name, since it is called twice in each iteration
+
     class MonotonicEPollReactor(MonotonicTime, EPollReactor):
         """Twisted's epoll reactor on the monotonic clock, without a log context per event.
 
@@ -64,19 +66,25 @@
         """
 
         def __init__(self) -> None:
-            self._arrivals = ArrivalTimes(self.seconds())
+            # The times of the last wait for events, and the end of the one before it.
+            self._wait_started_at = self._wait_returned_at = self._previous_return = time.monotonic()
+            self._wait_timeout: float | None = None
             super().__init__()
 
         def input_since(self) -> float:
             """Return the earliest time at which the input that is being read may have arrived."""
-            return self._arrivals.input_since
+            return earliest_arrival(
+                self._previous_return, self._wait_started_at, self._wait_timeout, self._wait_returned_at
+            )
 
         def doPoll(self, timeout: float | None) -> None:
             """Wait for events for at most `timeout` seconds and handle them."""
             poll_timeout = -1 if timeout is None else timeout
-            started_at = self.seconds()
+            self._previous_return = self._wait_returned_at
+            self._wait_timeout = timeout
+            self._wait_started_at = monotonic()
             ready = self._poller.poll(poll_timeout, max(1, len(self._selectables)))
-            self._arrivals.poll_returned(started_at, timeout, self.seconds())
+            self._wait_returned_at = monotonic()
             for descriptor, event in ready:
                 # The handler of an earlier event in this iteration may have closed the descriptor.
                 selectable = self._selectables.get(descriptor)
