--- a/lotusroute/net/monotonic_reactor.py
+++ b/lotusroute/net/monotonic_reactor.py
@@ -18,6 +18,10 @@
     from twisted.internet.base import ReactorBase
 
 
+# Longest wait for events. A suspension of the process shows only if it exceeds the end of a wait.
+MAX_WAIT_S = 0.25
+
+
 class MonotonicTime:
     """Mixin for a reactor class: its clock, `seconds`, is the monotonic clock."""
 
@@ -68,7 +72,7 @@
         def __init__(self) -> None:
             # The times of the last wait for events, and the end of the one before it.
             self._wait_started_at = self._wait_returned_at = self._previous_return = time.monotonic()
-            self._wait_timeout: float | None = None
+            self._wait_timeout = MAX_WAIT_S
             super().__init__()
 
         def input_since(self) -> float:
@@ -79,9 +83,9 @@
 
         def doPoll(self, timeout: float | None) -> None:
             """Wait for events for at most `timeout` seconds and handle them."""
-            poll_timeout = -1 if timeout is None else timeout
+            poll_timeout = MAX_WAIT_S if timeout is None else min(timeout, MAX_WAIT_S)
             self._previous_return = self._wait_returned_at
-            self._wait_timeout = timeout
+            self._wait_timeout = poll_timeout
             self._wait_started_at = monotonic()
             ready = self._poller.poll(poll_timeout, max(1, len(self._selectables)))
             self._wait_returned_at = monotonic()
--- a/lotusroute/timing/arrival_times.py
+++ b/lotusroute/timing/arrival_times.py
@@ -12,15 +12,12 @@
 ORDINARY_SUSPENSION_S = 0.15
 
 
-def earliest_arrival(
-    previous_return: float, started_at: float, timeout: float | None, returned_at: float
-) -> float:
+def earliest_arrival(previous_return: float, started_at: float, timeout: float, returned_at: float) -> float:
     """Return the earliest time at which the input that a wait has found may have arrived.
 
-    The wait before it ended at `previous_return`; `timeout` is None if the wait had none. A wait that
-    exceeded its timeout is taken to have been suspended before its end for as long as after it, or for an
-    ordinary time. If it were taken to have been suspended from its beginning, a request that was held up for
-    a moment would count as long expired.
+    The wait before it ended at `previous_return`. A wait that exceeded its timeout is taken to have been
+    suspended before its end for as long as after it, or for an ordinary time. If it were taken to have been
+    suspended from its beginning, a request that was held up for a moment would count as long expired.
 
     >>> earliest_arrival(0.0, 1.0, 0.5, 1.2)
     1.2
@@ -33,7 +30,7 @@
     """
     if returned_at - started_at < MIN_WAIT_S:
         return previous_return
-    if timeout is not None and returned_at > started_at + timeout + SUSPENSION_THRESHOLD_S:
+    if returned_at > started_at + timeout + SUSPENSION_THRESHOLD_S:
         due_at = started_at + timeout
         return max(started_at, due_at - max(ORDINARY_SUSPENSION_S, returned_at - due_at))
     return returned_at
