PortAllocator gives no port to two threads

The test starts four balancers in threads since today, and the allocator could give two threads one port: the second balancer then exits, and the first answers for it.

Test: test_threads_do_not_allocate_the_same_port.

--- a/lotusroute/process_control/free_ports.py
+++ b/lotusroute/process_control/free_ports.py
@@ -4,6 +4,7 @@
 import os
 import random
 import socket
+import threading
 import time
 from collections.abc import Sequence
 
@@ -55,9 +56,14 @@
         self._owner = os.getpid()
         self._allocated_at: dict[int, float] = {}  # when each recent port was allocated
         self._rng = random.SystemRandom()
+        self._lock = threading.Lock()
 
     def allocate(self) -> int:
         """Return a port that no process listens on; raises NoFreePortsError if there is none."""
+        with self._lock:
+            return self._allocate()
+
+    def _allocate(self) -> int:
         for port in self._candidates():
             with contextlib.suppress(OSError), socket.create_server((LOOPBACK, port)):
                 self._allocated_at[port] = time.monotonic()
@@ -65,7 +71,7 @@
         if self._given_ports is not None:
             raise NoFreePortsError(0)
         self._blocks.append(PortBlock.reserve())
-        return self.allocate()
+        return self._allocate()
 
     def _candidates(self) -> list[int]:
         """Return the ports that were not allocated recently, in random order."""
--- a/tests/test_process_control.py
+++ b/tests/test_process_control.py
@@ -4,6 +4,7 @@
 measurements fail for reasons outside the program that they examine.
 """
 
+import concurrent.futures
 import io
 import json
 import multiprocessing
@@ -155,6 +156,14 @@
     assert len({port for ports in allocated for port in ports}) == processes * count
 
 
+def test_threads_do_not_allocate_the_same_port():
+    for _ in range(40):
+        allocator = PortAllocator(ALLOCATABLE_PORTS[-20:])
+        with concurrent.futures.ThreadPoolExecutor(8) as threads:
+            ports = list(threads.map(lambda _, allocator=allocator: allocator.allocate(), range(8)))
+        assert len(set(ports)) == 8
+
+
 def test_a_forked_process_does_not_use_the_ports_of_its_parent():
     allocator = PortAllocator()
     parent_port = allocator.allocate()
