A suspended wait bounds what the next one finds; other waits count as they end

Found by reading again, with the trace of a failing run.

A wait that had collected one event (the close of the test's first client) was suspended on its way back; the connections that came meanwhile were found by the next wait, which took the end of the suspension for the bound. That is why requests whose time had passed got UP beside load. The bound was kept only for a wait that found nothing.

Not seen outside the test.

Change: the bound is kept for a wait that exceeded its timeout, whatever it found, and for no other.

Tests: two new ones in virtual time, failed before.

--- a/lotusroute/net/monotonic_reactor.py
+++ b/lotusroute/net/monotonic_reactor.py
@@ -12,7 +12,7 @@
 from twisted.internet import error, main
 
 from lotusroute.net.errors import WallClockReactorError
-from lotusroute.timing.arrival_times import earliest_arrival
+from lotusroute.timing.arrival_times import SUSPENSION_THRESHOLD_S, earliest_arrival
 
 if TYPE_CHECKING:
     from twisted.internet.base import ReactorBase
@@ -89,8 +89,8 @@
             self._wait_started_at = monotonic()
             ready = self._poller.poll(poll_timeout, max(1, len(self._selectables)))
             self._wait_returned_at = monotonic()
-            if not ready:
-                # A suspension interrupts the wait, which then returns without what has arrived meanwhile.
+            if self._wait_returned_at > self._wait_started_at + poll_timeout + SUSPENSION_THRESHOLD_S:
+                # What arrived during the suspension may be found by the next wait only.
                 self._wait_returned_at = self.input_since()
             for descriptor, event in ready:
                 # The handler of an earlier event in this iteration may have closed the descriptor.
--- a/tests/test_monotonic_reactor.py
+++ b/tests/test_monotonic_reactor.py
@@ -58,3 +58,56 @@
         [sys.executable, "-c", program], cwd=ROOT, capture_output=True, text=True, check=False
     )
     assert done.returncode != 0 and "timers of the installed reactor use the wall clock" in done.stderr
+
+
+class FakePoller:
+    """A poller in virtual time: each wait takes as long, and finds as many events, as the test says."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.duration = 0.0
+        self.events = []
+
+    def poll(self, _timeout, _maximum):
+        self.now += self.duration
+        return self.events
+
+
+@pytest.fixture
+def polling_reactor(monkeypatch):
+    """Return a reactor on a fake poller, and the poller."""
+    poller = FakePoller()
+    monkeypatch.setattr(time, "monotonic", lambda: poller.now)
+    reactor = monotonic_reactor._reactor_class()()
+    reactor._poller = poller
+    return reactor, poller
+
+
+def wait(reactor, poller, duration, events=()):
+    """Let the reactor wait for events; return since when what the wait found may have been there."""
+    poller.duration, poller.events = duration, list(events)
+    reactor.doPoll(1.0)
+    return reactor.input_since()
+
+
+UNKNOWN_DESCRIPTOR = (1_000_000, 0)  # an event that the reactor ignores
+
+
+@pytest.mark.parametrize("events", [[], [UNKNOWN_DESCRIPTOR]])
+def test_what_a_wait_finds_after_one_that_was_suspended_may_have_arrived_during_the_suspension(
+    polling_reactor, events
+):
+    # The events of a wait are collected before the suspension, or not at all; later ones are found next.
+    reactor, poller = polling_reactor
+    wait(reactor, poller, 0.1)
+    suspended_at = poller.now
+    wait(reactor, poller, 2.0, events)
+    assert wait(reactor, poller, 0.0, [UNKNOWN_DESCRIPTOR]) == pytest.approx(suspended_at)
+
+
+def test_short_waits_that_find_nothing_do_not_move_the_bound_back(polling_reactor):
+    reactor, poller = polling_reactor
+    for _ in range(100):
+        wait(reactor, poller, 0.01)
+    before = poller.now
+    assert wait(reactor, poller, 0.01, [UNKNOWN_DESCRIPTOR]) == pytest.approx(before)
