Requests get their callbacks when made; one check tells an outdated list

DiscoveryRequest took two callbacks as attributes after it was made, with two functions that did nothing as defaults; it takes them as arguments. Whether a shared update and whether a poll's answer apply to the list had the same check of the version in two shapes; both call _is_outdated. The times of the waits of the epoll reactor are a mixin beside MonotonicTime, out of the long function. A comment of ReplyTracker stood inside an expression.

--- a/lotusroute/net/discovery/client.py
+++ b/lotusroute/net/discovery/client.py
@@ -186,7 +186,7 @@
         if response.status != STATUS_OK:
             raise ProtocolError(f"expected status {STATUS_OK}, got {response.status}")
         message = json.loads(response.body)
-        if since != self.version and not self._is_newer(message, since):
+        if since != self.version and not self._answer_applies(message, since):
             update = NO_CHANGES  # a late response has brought a newer list meanwhile
         else:
             update = self._decode(message)
@@ -201,7 +201,7 @@
             return
         try:
             message = json.loads(response.body)
-            if not self._is_newer(message, request.since):
+            if not self._answer_applies(message, request.since):
                 return
             update = self._decode(message)
         except MALFORMED_LIST_ERRORS as error:
@@ -215,15 +215,15 @@
         self._enqueue_update(update, request.timing.started_at)
         self._report_first_response()
 
-    def _is_newer(self, message: EndpointListMessage, since: int | None) -> bool:
-        """Return whether a message that answers a poll from version `since` can be applied to the list.
+    def _answer_applies(self, message: EndpointListMessage, since: int | None) -> bool:
+        """Return whether a message that answers a poll from version `since` still applies to the list.
 
         Changes since an older version than the list's contain those since the list's version.
         """
-        if self.version is None:
-            return bool(message["whole"])
-        is_applicable = bool(message["whole"]) or (since is not None and since <= self.version)
-        return is_applicable and parse_version(message["seq"]) >= self.version
+        if self._is_outdated(message):
+            return False
+        has_base = since is not None and self.version is not None and since <= self.version
+        return bool(message["whole"]) or has_base
 
     async def _back_off(self, failure: DiscoveryFailed) -> None:
         """Wait after a failed poll; only the first failure in a row is logged."""
@@ -253,9 +253,11 @@
 
     def _is_applicable(self, message: EndpointListMessage, since: int | None) -> bool:
         """Return whether a message is not older than the list, and complete or relative to its version."""
-        if self.version is not None and parse_version(message["seq"]) < self.version:
-            return False
-        return bool(message["whole"]) or since == self.version
+        return not self._is_outdated(message) and (bool(message["whole"]) or since == self.version)
+
+    def _is_outdated(self, message: EndpointListMessage) -> bool:
+        """Return whether a message is older than the list."""
+        return self.version is not None and parse_version(message["seq"]) < self.version
 
     def _decode(self, message: EndpointListMessage) -> EndpointUpdate:
         """Decode a message and adopt its version; raises if it is malformed or cannot be applied."""
--- a/lotusroute/net/discovery/request.py
+++ b/lotusroute/net/discovery/request.py
@@ -38,19 +38,26 @@
 class DiscoveryRequest:
     """One request, from its sending to its response or its cancellation."""
 
-    def __init__(self, timing: PollTiming, since: int | None, request_timeout: float) -> None:
+    def __init__(
+        self,
+        timing: PollTiming,
+        since: int | None,
+        request_timeout: float,
+        on_timeout: "Callable[[DiscoveryRequest], None]",
+        on_late_response: "Callable[[DiscoveryRequest, HttpResponse], None]",
+    ) -> None:
         """`since` is the version that the request names, or None if it asks for the complete list.
 
-        `request_timeout` is the step by which the timeout is extended after a suspension.
+        `request_timeout` is the step by which the timeout is extended after a suspension. `on_timeout` is
+        called when the timeout passes, `on_late_response` with a response that arrives after it.
         """
         self.timing = timing
         self.since = since
         self.stage = PollStage.NO_RESPONSE  # progress of the request
         self.is_late = False
         self.is_finished = False
-        # Called when the timeout passes, and with a response that arrives after it.
-        self.on_timeout: Callable[[DiscoveryRequest], None] = _ignore_timeout
-        self.on_late_response: Callable[[DiscoveryRequest, HttpResponse], None] = _ignore_response
+        self._on_timeout = on_timeout
+        self._on_late_response = on_late_response
         self._request_timeout = request_timeout
         self._pending: Deferred[Any] | None = None
         self._in_time: Deferred[HttpResponse] = Deferred()
@@ -86,7 +93,7 @@
     def _answered(self, response: HttpResponse) -> None:
         self._finish()
         if self.is_late:
-            self.on_late_response(self, response)
+            self._on_late_response(self, response)
         else:
             self._in_time.callback(response)
 
@@ -130,18 +137,10 @@
         self.is_late = True
         time_left = self.timing.started_at + self.timing.lifetime - reactor.seconds()
         self._timer = reactor.callLater(max(0.0, time_left), self.cancel)
-        self.on_timeout(self)
+        self._on_timeout(self)
         self._in_time.errback(PollTimedOutError(self.timing.timeout))
 
 
-def _ignore_timeout(_: DiscoveryRequest) -> None:
-    """Do nothing, as the callback of a request that nobody observes."""
-
-
-def _ignore_response(_request: DiscoveryRequest, _response: HttpResponse) -> None:
-    """Do nothing, as the callback of a request that nobody observes."""
-
-
 class DiscoveryRequester:
     """Sends the requests of one discovery client over connections that are kept open."""
 
@@ -164,9 +163,7 @@
 
         `since` is the version that the request names, or None if it asks for the complete list.
         """
-        request = DiscoveryRequest(timing, since, self._request_timeout)
-        request.on_timeout = self._timed_out
-        request.on_late_response = self._answered_late
+        request = DiscoveryRequest(timing, since, self._request_timeout, self._timed_out, self._answered_late)
         self._current = request
         try:
             response = await request.send(self._agent, url)
--- a/lotusroute/net/monotonic_reactor.py
+++ b/lotusroute/net/monotonic_reactor.py
@@ -32,6 +32,22 @@
         return self.seconds()
 
 
+class ObservedWaits(MonotonicTime):
+    """Mixin that knows from the times of the waits for events how long input may have waited."""
+
+    def __init__(self) -> None:
+        # The times of the last wait, and the end of the one before it.
+        self._wait_started_at = self._wait_returned_at = self._previous_return = time.monotonic()
+        self._wait_timeout = MAX_WAIT_S
+        super().__init__()
+
+    def input_since(self) -> float:
+        """Return the earliest time at which the input that is being read may have arrived."""
+        return earliest_arrival(
+            self._previous_return, self._wait_started_at, self._wait_timeout, self._wait_returned_at
+        )
+
+
 def install() -> None:
     """Install the reactor; raises WallClockReactorError if one on another clock is installed."""
     try:
@@ -62,25 +78,13 @@
 
     monotonic = time.monotonic  # a local name, since it is called twice in each iteration
 
-    class MonotonicEPollReactor(MonotonicTime, EPollReactor):
+    class MonotonicEPollReactor(ObservedWaits, EPollReactor):
         """Twisted's epoll reactor on the monotonic clock, without a log context per event.
 
         Twisted sets up a log context for each read and write, which takes a ninth of the CPU time of a flow;
-        none of our log lines use it. It also observes how long input may have waited.
+        none of our log lines use it.
         """
 
-        def __init__(self) -> None:
-            # The times of the last wait for events, and the end of the one before it.
-            self._wait_started_at = self._wait_returned_at = self._previous_return = time.monotonic()
-            self._wait_timeout = MAX_WAIT_S
-            super().__init__()
-
-        def input_since(self) -> float:
-            """Return the earliest time at which the input that is being read may have arrived."""
-            return earliest_arrival(
-                self._previous_return, self._wait_started_at, self._wait_timeout, self._wait_returned_at
-            )
-
         def doPoll(self, timeout: float | None) -> None:
             """Wait for events for at most `timeout` seconds and handle them."""
             poll_timeout = MAX_WAIT_S if timeout is None else min(timeout, MAX_WAIT_S)
--- a/lotusroute/net/upstream/reply_tracker.py
+++ b/lotusroute/net/upstream/reply_tracker.py
@@ -33,9 +33,8 @@
         # When the oldest unanswered lines were sent, the oldest first.
         self._sent_times: deque[float] = deque()
         self._last_line_time = 0.0  # when the server's last line was read; 0 if none was read
-        self._reading_resumed_at = (
-            0.0  # when the server was last read again after a pause; 0 before the first
-        )
+        # When the server was last read again after a pause; 0 before the first.
+        self._reading_resumed_at = 0.0
         self._last_request_time = 0.0  # when the client's last line was sent; 0 if none was
 
     def start(self, now: float) -> None:
--- a/tests/test_slow_discovery.py
+++ b/tests/test_slow_discovery.py
@@ -5,6 +5,7 @@
 import json
 import pathlib
 import time
+from unittest.mock import Mock
 
 import pytest
 from balancer_process import SETTINGS, Balancer
@@ -99,7 +100,7 @@
     timing = PollTiming(
         now - 1.0, hold=0.0, timeout=0.25, body_timeout=0.25, lifetime=6.0, suspension_extension=0.0
     )
-    return DiscoveryRequest(timing, since, request_timeout=0.25)
+    return DiscoveryRequest(timing, since, 0.25, on_timeout=Mock(), on_late_response=Mock())
 
 
 @pytest.mark.parametrize(
