A burst of exactly sixteen clients does not age the next client's request

Change: what a read has left is found by the very next wait. If input that came after the read is being handled, the read had left nothing.

Test: a burst of sixteen, then a request; failed before, with BUSY.

--- a/lotusroute/net/downstream/listener.py
+++ b/lotusroute/net/downstream/listener.py
@@ -158,22 +158,32 @@
 
     transport = DownstreamTransport
     factory: DownstreamFactory
-    # Since when the connections may have waited that the last read left; None if it left none.
+    # Since when the connections may have waited that the last read may have left; None if it left none.
     _left_since: float | None = None
+    _last_read_at = 0.0  # when the last read ended
 
     def startListening(self) -> None:
         """Listen; clients can connect from now on."""
-        self._left_since = self.factory.clock()
+        self._left_since = self._last_read_at = self.factory.clock()
         super().startListening()
 
     def doRead(self) -> None:
         """Accept some of the connections that wait."""
         factory = self.factory
-        factory.backlog_since = factory.input_since() if self._left_since is None else self._left_since
+        factory.backlog_since = self._backlog_since()
         accepted_before = factory.counters["connections"]
         super().doRead()
         accepted = factory.counters["connections"] - accepted_before
         self._left_since = factory.backlog_since if accepted == ACCEPTS_PER_ITERATION else None
+        self._last_read_at = factory.clock()
+
+    def _backlog_since(self) -> float:
+        """Return since when the connections may have waited that are accepted now."""
+        input_since = self.factory.input_since()
+        # The next wait finds at once what a read has left; if it did not, the read had left nothing.
+        if self._left_since is None or input_since > self._last_read_at:
+            return input_since
+        return self._left_since
 
     @property
     def numberAccepts(self) -> int:
--- a/tests/test_waiting_requests.py
+++ b/tests/test_waiting_requests.py
@@ -115,6 +115,17 @@
     assert len(requests_at(server)) == 2
 
 
+def test_a_request_after_a_burst_that_was_accepted_at_once_has_its_whole_time(starting):
+    # The balancer accepts as many at once, so it could not see that it had left none of the burst.
+    balancer = starting(FakeServer("s1"))
+    wait_until(lambda: answers_health_check(balancer.port))
+    balancer.suspend()
+    burst = [balancer.connect() for _ in range(ACCEPTS_PER_ITERATION)]
+    balancer.resume()
+    time.sleep(1.0)
+    assert balancer.open_flow(timeout_ms=800).readline().startswith(b"UP ") and burst
+
+
 def test_a_shutdown_during_the_start_answers_the_requests_that_wait(starting):
     server = FakeServer("s1")
     balancer = starting(server, down=True)
